--- /dev/null
+++ b/core/arbiter/arbiter.go
@@ -0,0 +1,401 @@
+// Package arbiter is an entry host's part as the arbiter of its cell: it decides which host is the steward of each
+// backend server and which server owns each unit.
+package arbiter
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"redwingsill/core/assignment"
+	"redwingsill/core/configuration"
+	"redwingsill/core/effect"
+	"redwingsill/core/event"
+	"redwingsill/core/hostentry"
+	"redwingsill/core/member"
+	"redwingsill/core/message"
+	"redwingsill/core/permit"
+	"redwingsill/core/quorum"
+	"redwingsill/core/resource"
+	"redwingsill/core/stamp"
+	"redwingsill/core/timing"
+	"redwingsill/core/victory"
+	"redwingsill/core/view"
+)
+
+// The times between an arbiter's regular calls.
+const (
+	hostsInterval    = time.Second
+	verdictsInterval = 500 * time.Millisecond
+	planInterval     = 200 * time.Millisecond
+	probeInterval    = time.Second
+	maxRounds        = 64
+	leavingPatience  = 1500 * time.Millisecond
+)
+
+// Arbiter is the state of the arbiter. It is immutable.
+type Arbiter struct {
+	name        string
+	dataCentre  string
+	incarnation int64
+	timing      timing.Timing
+
+	term    int64
+	quorums quorum.Quorums
+	rounds  map[int64]time.Time
+	round   int64
+	peers   map[string]peer
+	// permitsEnd is when the permits of earlier arbiters have surely ended.
+	permitsEnd time.Time
+
+	configuration configuration.Configuration
+	assignment    assignment.Assignment
+	view          view.View
+	down          map[string]bool
+	leaving       map[string]bool
+	leavingSince  map[string]time.Time
+	hosts         map[string]hostentry.HostEntry
+
+	holdings   map[string]holding
+	generation int64
+	orders     map[int64]order
+	orderID    int64
+	plan       *plan
+	plannedAt  time.Time
+	movedAt    time.Time
+
+	sequence      int64
+	pending       map[int64]purpose
+	lease         []byte
+	leaseRevision int64
+	leaseAt       time.Time
+	leaseTriedAt  time.Time
+	// assignmentRevision is the platform's revision of the assignment. It is known once isFenced.
+	assignmentRevision int64
+	// watched is the platform's revision of the newest configuration that was read, or -1.
+	watched    int64
+	isRead     bool
+	isFenced   bool
+	listedAt   time.Time
+	heardAt    time.Time
+	platformAt time.Time
+	retryAt    time.Time
+	// changed asks for a beat to all members at once, and urgent for their reports.
+	changed  bool
+	urgent   bool
+	jointAt  time.Time
+	resigned bool
+}
+
+// New returns the arbiter that a victorious candidate becomes. The member is the same host's.
+func New(name, dataCentre string, incarnation int64, t timing.Timing, v victory.Victory, m member.Member, now time.Time) Arbiter {
+	a := Arbiter{
+		name: name, dataCentre: dataCentre, incarnation: incarnation, timing: t,
+		term: v.Term, quorums: v.Quorums, rounds: map[int64]time.Time{0: now}, peers: map[string]peer{},
+		permitsEnd:    v.PermitsEnd,
+		configuration: m.Configuration(), assignment: m.Assignment(), view: m.View(),
+		holdings: map[string]holding{}, orders: map[int64]order{}, orderID: v.Term << 20,
+		sequence: now.UnixNano(), pending: map[int64]purpose{}, watched: -1,
+		lease: v.Lease, leaseRevision: v.LeaseRevision, leaseAt: now, plannedAt: now, changed: true,
+	}
+	for _, f := range v.Followed {
+		a = a.withNews(f)
+		a.peers[f.Member] = peer{reportedAt: now, followedAt: v.Since, report: message.Report{Member: f.Member,
+			Incarnation: f.Incarnation, Stamp: stamp.Stamp{Configuration: -1, AssignmentTerm: -1, ViewTerm: -1}}}
+		for _, p := range f.Holdings {
+			a = a.withClaim(f.Member, f.Incarnation, p)
+		}
+	}
+	a.down, a.leaving, a.hosts = a.view.Down, a.view.Leaving, a.view.Hosts
+	a.leavingSince = map[string]time.Time{}
+	return a
+}
+
+// Term returns the arbiter's term.
+func (a Arbiter) Term() int64 { return a.term }
+
+// Holder returns the steward of a backend server, or "".
+func (a Arbiter) Holder(server string) string { return a.holdings[server].host }
+
+// HasResigned reports whether the arbiter has stopped for good.
+func (a Arbiter) HasResigned() bool { return a.resigned }
+
+// Since returns the latest time at which a majority is known to have followed the arbiter.
+func (a Arbiter) Since(now time.Time) time.Time {
+	return a.quorums.Since(func(name string) time.Time {
+		if name == a.name {
+			return now
+		}
+		return a.peers[name].followedAt
+	})
+}
+
+// Step returns the arbiter after an event, and what is to be done. The member is the same host's.
+func (a Arbiter) Step(e event.Event, m member.Member, now time.Time) (Arbiter, []effect.Effect) {
+	if a.resigned {
+		return a, nil
+	}
+	if m.Term() > a.term || now.Sub(a.Since(now)) > a.timing.Permit {
+		return a.resign(now)
+	}
+	var effects []effect.Effect
+	switch e := e.(type) {
+	case event.Received:
+		if r, ok := e.Message.(message.Report); ok && r.Term == a.term {
+			a, effects = a.take(r, now)
+		}
+	case event.KeyRead:
+		a, effects = a.read(e, now)
+	case event.KeyWritten:
+		a = a.written(e, now)
+	case event.KeyConflicted:
+		a = a.conflicted(e.ID, now)
+	case event.PlatformFailed:
+		a = a.failed(e.ID, now)
+	case event.HostsListed:
+		a = a.listed(e, now)
+	case event.VerdictsHeard:
+		a = a.heard(e)
+	case event.Ticked:
+		a, effects = a.tick(now)
+	case event.LeaveAsked:
+		return a.resign(now)
+	}
+	a, more := a.push(now)
+	return a, append(effects, more...)
+}
+
+// tick does what is due.
+func (a Arbiter) tick(now time.Time) (Arbiter, []effect.Effect) {
+	if c := a.contender(now); c > 0 && !a.hasLease(now) {
+		return a.resign(now)
+	}
+	a, effects := a.callPlatform(now)
+	a = a.endHoldings(now).dropOrders().appoint(now)
+	if now.Sub(a.plannedAt) >= planInterval {
+		a = a.level(now).think(now)
+		a.plannedAt = now
+	}
+	a, more := a.advance(now)
+	effects = append(effects, more...)
+	return a.withView(), effects
+}
+
+// resign stops the arbiter for good, gives the lease up and tells the members.
+func (a Arbiter) resign(now time.Time) (Arbiter, []effect.Effect) {
+	var effects []effect.Effect
+	for _, name := range a.quorums.Members() {
+		if name != a.name && now.Sub(a.peers[name].reportedAt) < a.timing.Silence {
+			effects = append(effects, effect.Send{To: name, Message: message.Beat{Term: a.term, Arbiter: a.name,
+				Incarnation: a.incarnation, Resigned: true}})
+		}
+	}
+	if a.leaseRevision != 0 {
+		a.sequence++
+		effects = append(effects, effect.WriteKey{ID: a.sequence, Key: a.leaseKey(), Revision: a.leaseRevision})
+	}
+	a.resigned = true
+	return a, effects
+}
+
+// take handles a member's report and answers it.
+func (a Arbiter) take(r message.Report, now time.Time) (Arbiter, []effect.Effect) {
+	p := a.peers[r.Member]
+	p.report, p.reportedAt = r, now
+	if at, ok := a.rounds[r.Round]; ok && at.After(p.followedAt) {
+		p.followedAt = at
+	}
+	a.peers = maps.Clone(a.peers)
+	a.peers[r.Member] = p
+	if r.Leaving && !a.leaving[r.Member] {
+		a.leaving = maps.Clone(a.leaving)
+		if a.leaving == nil {
+			a.leaving = map[string]bool{}
+		}
+		a.leaving[r.Member] = true
+		a.changed = true
+	}
+	for _, held := range r.Holdings {
+		a = a.withClaim(r.Member, r.Incarnation, held)
+	}
+	a = a.released(r, now).withView()
+	return a.beat(r.Member, now)
+}
+
+// withClaim takes over a permit that a member holds from an earlier arbiter.
+func (a Arbiter) withClaim(host string, incarnation int64, p permit.Permit) Arbiter {
+	h := a.holdings[p.Server]
+	server, declared := a.configuration.BackendServers[p.Server]
+	if p.Grant.Term >= a.term || !declared || server.DataCentre != a.dataCentre ||
+		h.grant.Term == a.term || h.grant.Compare(p.Grant) >= 0 {
+		return a
+	}
+	return a.withHolding(p.Server, holding{host: host, incarnation: incarnation, grant: p.Grant, origin: p.Origin,
+		until: a.permitsEnd})
+}
+
+// beat sends a member the arbiter's word.
+func (a Arbiter) beat(to string, now time.Time) (Arbiter, []effect.Effect) {
+	a.round++
+	a.rounds = maps.Clone(a.rounds)
+	a.rounds[a.round] = now
+	delete(a.rounds, a.round-maxRounds)
+	p := a.peers[to]
+	own := a.stamp()
+	b := message.Beat{Term: a.term, Arbiter: a.name, Incarnation: a.incarnation, Round: a.round, Echo: p.report.SentAt,
+		Successors: a.successors(), Quorums: a.quorums, Urgent: a.urgent, Stamp: own}
+	if p.report.Stamp.Configuration < own.Configuration {
+		b.Configuration = &a.configuration
+	}
+	if p.report.Stamp.HasOlderAssignment(own) {
+		b.Assignment = &a.assignment
+	}
+	if p.report.Stamp.HasOlderView(own) {
+		b.View = &a.view
+	}
+	a, b.Permits = a.permits(to, now)
+	for _, id := range slices.Sorted(maps.Keys(a.orders)) {
+		if o := a.orders[id]; o.host == to && !o.isDone {
+			b.Releases = append(b.Releases, o.release)
+		}
+	}
+	p.beatAt = now
+	a.peers = maps.Clone(a.peers)
+	a.peers[to] = p
+	return a, []effect.Effect{effect.Send{To: to, Message: b}}
+}
+
+// permits returns the permits to send to a member. They last from the time at which a majority followed the arbiter.
+func (a Arbiter) permits(to string, now time.Time) (Arbiter, []permit.Permit) {
+	p := a.peers[to]
+	end := a.Since(now).Add(a.timing.Permit)
+	if p.report.SentAt.IsZero() || !end.After(now) || a.stamp().HasOlderAssignment(p.report.Stamp) {
+		return a, nil
+	}
+	var sent []permit.Permit
+	for _, server := range slices.Sorted(maps.Keys(a.holdings)) {
+		h := a.holdings[server]
+		if h.host != to || h.incarnation != p.report.Incarnation {
+			continue
+		}
+		if h.grant.Term < a.term {
+			a.generation++
+			h.grant.Term, h.grant.Generation = a.term, a.generation
+		}
+		h.until = latest(h.until, end.Add(a.timing.Drift))
+		a = a.withHolding(server, h)
+		sent = append(sent, permit.Permit{Server: server, Grant: h.grant, Origin: h.origin, Validity: end.Sub(p.reportedAt)})
+	}
+	return a, sent
+}
+
+// push sends beats to all members when something has changed, and to silent ones now and then.
+func (a Arbiter) push(now time.Time) (Arbiter, []effect.Effect) {
+	var effects []effect.Effect
+	for _, name := range a.quorums.With(a.entryHosts()).Members() {
+		p := a.peers[name]
+		isSilent := now.Sub(p.reportedAt) > a.timing.Silence && now.Sub(p.beatAt) >= probeInterval
+		if a.changed || isSilent {
+			var more []effect.Effect
+			a, more = a.beat(name, now)
+			effects = append(effects, more...)
+		}
+	}
+	a.changed, a.urgent = false, false
+	return a, effects
+}
+
+// withNews takes over what a member has newer.
+func (a Arbiter) withNews(f message.Followed) Arbiter {
+	own := a.stamp()
+	if f.Configuration != nil && f.Configuration.Revision > own.Configuration {
+		a.configuration = *f.Configuration
+	}
+	if f.Assignment != nil && own.HasOlderAssignment(stamp.Stamp{AssignmentTerm: f.Assignment.Term,
+		AssignmentVersion: f.Assignment.Version}) {
+		a.assignment = *f.Assignment
+	}
+	if f.View != nil && f.View.Newer(a.view) {
+		a.view = *f.View
+	}
+	return a
+}
+
+// withView numbers a new view where the facts differ from the last.
+func (a Arbiter) withView() Arbiter {
+	next := view.View{Stewards: map[string]string{}, Down: a.down, Leaving: a.leaving, Hosts: a.hosts}
+	for server, h := range a.holdings {
+		if !h.isFree() {
+			next.Stewards[server] = h.host
+		}
+	}
+	if a.view.Term == a.term && next.Same(a.view) {
+		return a
+	}
+	version := int64(1)
+	if a.view.Term == a.term {
+		version = a.view.Version + 1
+	}
+	a.view = next.WithVersion(a.term, version)
+	a.changed = true
+	return a
+}
+
+func (a Arbiter) stamp() stamp.Stamp {
+	return stamp.Stamp{
+		Configuration:     a.configuration.Revision,
+		AssignmentTerm:    a.assignment.Term,
+		AssignmentVersion: a.assignment.Version,
+		ViewTerm:          a.view.Term,
+		ViewVersion:       a.view.Version,
+	}
+}
+
+// isLive reports whether a member has reported lately and may be given work.
+func (a Arbiter) isLive(name string, now time.Time) bool {
+	p, ok := a.peers[name]
+	return ok && now.Sub(p.reportedAt) < a.timing.Silence
+}
+
+func (a Arbiter) entryHosts() []string {
+	return a.configuration.DataCentres[a.dataCentre].EntryHosts
+}
+
+// successors returns the hosts that follow in turn, the arbiter's neighbours first.
+func (a Arbiter) successors() []string {
+	var names []string
+	for _, name := range a.entryHosts() {
+		if name != a.name && !a.leaving[name] {
+			names = append(names, name)
+		}
+	}
+	return append(names, a.name)
+}
+
+// contender returns the highest term of a candidate that a member has refused lately.
+func (a Arbiter) contender(now time.Time) int64 {
+	highest := int64(0)
+	for name, p := range a.peers {
+		if a.isLive(name, now) {
+			highest = max(highest, p.report.Contender)
+		}
+	}
+	return highest
+}
+
+func (a Arbiter) servers() []resource.BackendServer {
+	return a.configuration.ServersOf("", a.dataCentre)
+}
+
+func (a Arbiter) withHolding(server string, h holding) Arbiter {
+	a.holdings = maps.Clone(a.holdings)
+	a.holdings[server] = h
+	return a
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/arbiter/holding.go
@@ -0,0 +1,23 @@
+package arbiter
+
+import (
+	"time"
+
+	"redwingsill/core/grant"
+)
+
+// holding is who has the permit for one backend server.
+type holding struct {
+	host        string
+	incarnation int64
+	grant       grant.Grant
+	origin      grant.Grant
+	// until is when every permit sent for it has surely ended.
+	until time.Time
+	// isReleased says that the last holder gave the server up itself.
+	isReleased bool
+	// heir is the host that has the holder's memory, once the holder has released the server.
+	heir string
+}
+
+func (h holding) isFree() bool { return h.host == "" }
--- /dev/null
+++ b/core/arbiter/order.go
@@ -0,0 +1,11 @@
+package arbiter
+
+import "redwingsill/core/release"
+
+// order is an order of release that has been given.
+type order struct {
+	release release.Release
+	host    string
+	isDone  bool
+	adopted bool
+}
--- /dev/null
+++ b/core/arbiter/platform.go
@@ -0,0 +1,295 @@
+package arbiter
+
+import (
+	"encoding/json"
+	"maps"
+	"time"
+
+	"redwingsill/core/assignment"
+	"redwingsill/core/configuration"
+	"redwingsill/core/effect"
+	"redwingsill/core/event"
+	"redwingsill/core/hostentry"
+	"redwingsill/core/platformkey"
+	"redwingsill/core/quorum"
+	"redwingsill/core/stamp"
+	"redwingsill/core/termrecord"
+)
+
+// callPlatform makes the calls that are due.
+func (a Arbiter) callPlatform(now time.Time) (Arbiter, []effect.Effect) {
+	var effects []effect.Effect
+	call := func(p purpose, e func(id int64) effect.Effect) {
+		a.sequence++
+		a.pending = maps.Clone(a.pending)
+		a.pending[a.sequence] = p
+		effects = append(effects, e(a.sequence))
+	}
+	if now.Sub(a.leaseTriedAt) >= a.timing.LeaseRenewal && !a.isPending(renewLease) && a.isHeardBy(now) {
+		a.leaseTriedAt = now
+		call(renewLease, func(id int64) effect.Effect {
+			return effect.WriteKey{ID: id, Key: a.leaseKey(), Value: a.lease, Revision: a.leaseRevision, TTL: a.timing.LeaseTTL}
+		})
+	}
+	if !a.isPending(watchConfiguration) && !now.Before(a.retryAt) {
+		call(watchConfiguration, func(id int64) effect.Effect {
+			return effect.ReadKey{ID: id, Key: string(platformkey.Configuration), After: a.watched}
+		})
+	}
+	mayRead := len(a.assignment.Slots) > 0 || a.Since(now).After(a.permitsEnd)
+	if mayRead && !a.isRead && !a.isPending(readAssignment) && !now.Before(a.retryAt) {
+		call(readAssignment, func(id int64) effect.Effect {
+			return effect.ReadKey{ID: id, Key: a.key(platformkey.Assignment), After: -1}
+		})
+	}
+	if len(a.quorums) > 1 || !a.hasQuorum(a.entryHosts()) {
+		if !a.isPending(readTerm) && !a.isPending(writeTerm) && !now.Before(a.retryAt) {
+			call(readTerm, func(id int64) effect.Effect {
+				return effect.ReadKey{ID: id, Key: a.key(platformkey.Term), After: -1}
+			})
+		}
+	}
+	if now.Sub(a.listedAt) >= hostsInterval {
+		a.listedAt = now
+		effects = append(effects, effect.ListHosts{})
+	}
+	if now.Sub(a.heardAt) >= verdictsInterval {
+		a.heardAt = now
+		effects = append(effects, effect.HearVerdicts{})
+	}
+	return a, effects
+}
+
+func (a Arbiter) writeAssignment(now time.Time) (Arbiter, []effect.Effect) {
+	value, err := json.Marshal(a.plan.next)
+	if err != nil {
+		panic(err)
+	}
+	a.sequence++
+	a.pending = maps.Clone(a.pending)
+	a.pending[a.sequence] = writeAssignment
+	return a, []effect.Effect{effect.WriteKey{ID: a.sequence, Key: a.key(platformkey.Assignment), Value: value,
+		Revision: a.assignmentRevision}}
+}
+
+func (a Arbiter) read(e event.KeyRead, now time.Time) (Arbiter, []effect.Effect) {
+	p := a.pending[e.ID]
+	a = a.answered(e.ID)
+	if p == "" {
+		return a, nil
+	}
+	a.platformAt = now
+	switch p {
+	case watchConfiguration:
+		a.watched = max(a.watched, e.Revision)
+		return a.withConfigurationText(e.Value), nil
+	case readAssignment:
+		return a.withAssignmentText(e, now), nil
+	case readTerm:
+		return a.rewriteTerm(e, now)
+	case writeAssignment, writeTerm, renewLease:
+	}
+	return a, nil
+}
+
+func (a Arbiter) withConfigurationText(text []byte) Arbiter {
+	var c configuration.Configuration
+	if err := json.Unmarshal(text, &c); err == nil && c.Revision > a.configuration.Revision {
+		a.configuration = c
+		a.changed = true
+	}
+	return a
+}
+
+// withAssignmentText takes over the platform's assignment. One that is newer than the one in force becomes the plan,
+// since the units that it moves may be served by their old owners.
+func (a Arbiter) withAssignmentText(e event.KeyRead, now time.Time) Arbiter {
+	a.isRead, a.assignmentRevision = true, e.Revision
+	var kept assignment.Assignment
+	if e.Revision == 0 || json.Unmarshal(e.Value, &kept) != nil {
+		return a.restart()
+	}
+	if a.plan != nil && a.plan.isWriting && kept.WriteID == a.plan.next.WriteID {
+		return a.published(now)
+	}
+	if a.stamp().HasOlderAssignment(stamp.Stamp{AssignmentTerm: kept.Term, AssignmentVersion: kept.Version}) {
+		if kept.Term > a.term {
+			return a.restart()
+		}
+		if len(a.assignment.Slots) == 0 {
+			a.assignment = kept
+			return a.restart()
+		}
+		a = a.begin(kept, now)
+		a.isFenced = false
+		return a
+	}
+	return a.restart()
+}
+
+// restart takes a plan back to the stage before its write.
+func (a Arbiter) restart() Arbiter {
+	if a.plan != nil {
+		next := *a.plan
+		next.isWriting = false
+		a.plan = &next
+	}
+	return a
+}
+
+// rewriteTerm writes the members that are declared now into the record of the term: beside the old ones first, and
+// alone once a majority of both has followed since.
+func (a Arbiter) rewriteTerm(e event.KeyRead, now time.Time) (Arbiter, []effect.Effect) {
+	var record termrecord.TermRecord
+	desired := quorum.Quorums{}.With(a.entryHosts())
+	if err := json.Unmarshal(e.Value, &record); err != nil || len(a.entryHosts()) == 0 ||
+		record.Term > a.term || record.Term+termrecord.Block <= a.term {
+		return a, nil
+	}
+	switch {
+	case !record.Quorums.Newest().Same(desired):
+		record.Quorums = record.Quorums.With(desired[0])
+		a.quorums, a.jointAt = record.Quorums, now
+	case len(record.Quorums) == 1:
+		a.quorums = desired
+		return a, nil
+	case !record.Quorums.Same(a.quorums):
+		a.quorums, a.jointAt = record.Quorums, now
+		return a, nil
+	case !a.Since(now).After(a.jointAt):
+		return a, nil
+	default:
+		record.Quorums = desired
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		panic(err)
+	}
+	a.sequence++
+	a.pending = maps.Clone(a.pending)
+	a.pending[a.sequence] = writeTerm
+	return a, []effect.Effect{effect.WriteKey{ID: a.sequence, Key: a.key(platformkey.Term), Value: value, Revision: e.Revision}}
+}
+
+func (a Arbiter) written(e event.KeyWritten, now time.Time) Arbiter {
+	p := a.pending[e.ID]
+	a = a.answered(e.ID)
+	if p == "" {
+		return a
+	}
+	a.platformAt = now
+	switch p {
+	case renewLease:
+		a.leaseRevision, a.leaseAt = e.Revision, now
+	case writeAssignment:
+		a.assignmentRevision = e.Revision
+		return a.published(now)
+	case watchConfiguration, readAssignment, readTerm, writeTerm:
+	}
+	return a
+}
+
+// conflicted handles a write that lost. Whether it is this arbiter's own earlier write is for reading to tell.
+func (a Arbiter) conflicted(id int64, now time.Time) Arbiter {
+	p := a.pending[id]
+	a = a.answered(id)
+	switch p {
+	case renewLease:
+		a.leaseRevision = 0
+	case writeAssignment:
+		a.isRead = false
+	case watchConfiguration, readAssignment, readTerm, writeTerm, "":
+	}
+	if p != "" {
+		a.platformAt = now
+	}
+	return a
+}
+
+// failed handles a call without an answer. A write may have taken effect, so it is read back.
+func (a Arbiter) failed(id int64, now time.Time) Arbiter {
+	p := a.pending[id]
+	a = a.answered(id)
+	if p == writeAssignment {
+		a.isRead = false
+	}
+	if p != "" {
+		a.retryAt = now.Add(a.timing.Stagger)
+	}
+	return a
+}
+
+func (a Arbiter) listed(e event.HostsListed, now time.Time) Arbiter {
+	hosts, leaving := map[string]hostentry.HostEntry{}, map[string]bool{}
+	for _, h := range e.Hosts {
+		if h.Address != "" {
+			hosts[h.Name] = h
+		}
+		if h.Leaving {
+			leaving[h.Name] = true
+		}
+	}
+	for name, p := range a.peers {
+		if p.report.Leaving {
+			leaving[name] = true
+		}
+	}
+	since := map[string]time.Time{}
+	for name := range leaving {
+		since[name] = now
+		if at, ok := a.leavingSince[name]; ok {
+			since[name] = at
+		}
+	}
+	a.leavingSince, a.leaving = since, leaving
+	if len(hosts) > 0 {
+		a.hosts = hosts
+	}
+	return a
+}
+
+func (a Arbiter) heard(e event.VerdictsHeard) Arbiter {
+	down := map[string]bool{}
+	for _, name := range e.Down {
+		down[name] = true
+	}
+	if !maps.Equal(down, a.down) {
+		a.down = down
+	}
+	return a
+}
+
+func (a Arbiter) hasQuorum(members []string) bool {
+	return quorum.Quorums{}.With(members).Same(a.quorums)
+}
+
+// isHeardBy reports whether a majority has followed lately. Without one the lease is left to lapse.
+func (a Arbiter) isHeardBy(now time.Time) bool {
+	return now.Sub(a.Since(now)) < 2*a.timing.Silence
+}
+
+func (a Arbiter) hasLease(now time.Time) bool {
+	return a.leaseRevision != 0 && now.Sub(a.leaseAt) < a.timing.LeaseTTL
+}
+
+func (a Arbiter) isPending(p purpose) bool {
+	for _, q := range a.pending {
+		if p == q {
+			return true
+		}
+	}
+	return false
+}
+
+func (a Arbiter) answered(id int64) Arbiter {
+	if a.pending[id] == "" {
+		return a
+	}
+	a.pending = maps.Clone(a.pending)
+	delete(a.pending, id)
+	return a
+}
+
+func (a Arbiter) leaseKey() string { return a.key(platformkey.Lease) }
+
+func (a Arbiter) key(of func(string) platformkey.Key) string { return string(of(a.dataCentre)) }
--- /dev/null
+++ b/core/candidate/candidate.go
@@ -0,0 +1,326 @@
+// Package candidate is an entry host's attempt to become the arbiter of its cell.
+package candidate
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"redwingsill/core/effect"
+	"redwingsill/core/event"
+	"redwingsill/core/leaserecord"
+	"redwingsill/core/member"
+	"redwingsill/core/message"
+	"redwingsill/core/platformkey"
+	"redwingsill/core/quorum"
+	"redwingsill/core/termrecord"
+	"redwingsill/core/timing"
+	"redwingsill/core/victory"
+)
+
+// Candidate is the state of the attempt. It is immutable.
+type Candidate struct {
+	name        string
+	dataCentre  string
+	incarnation int64
+	timing      timing.Timing
+
+	sequence int64
+	pending  map[int64]purpose
+	// sentAt is when the newest call to the platform left; restAt is when the next try may start.
+	sentAt   time.Time
+	restAt   time.Time
+	failures int
+
+	leaseRevision int64
+	leaseAt       time.Time
+	lease         []byte
+	record        termrecord.TermRecord
+	isFirst       bool
+
+	// term is the term that members are asked to follow, or 0.
+	term     int64
+	quorums  quorum.Quorums
+	askedAt  time.Time
+	since    time.Time
+	promises map[string]promise
+}
+
+// New returns a candidate that has not tried yet.
+func New(name, dataCentre string, incarnation int64, t timing.Timing, now time.Time) Candidate {
+	lease, err := json.Marshal(leaserecord.LeaseRecord{Holder: name, Incarnation: incarnation})
+	if err != nil {
+		panic(err)
+	}
+	return Candidate{name: name, dataCentre: dataCentre, incarnation: incarnation, timing: t, lease: lease,
+		sequence: now.UnixNano(), pending: map[int64]purpose{}, promises: map[string]promise{}}
+}
+
+// WithRest returns the candidate that does not try for a while.
+func (c Candidate) WithRest(now time.Time) Candidate {
+	c.restAt = now.Add(c.timing.Silence)
+	return c
+}
+
+// Failures returns the number of calls to the platform that failed in a row.
+func (c Candidate) Failures() int { return c.failures }
+
+// Won returns what the candidate knows once a majority follows it.
+func (c Candidate) Won() (victory.Victory, bool) {
+	accepted := func(name string) bool { return c.promises[name].message.Accepted }
+	if c.term == 0 || !c.quorums.Has(accepted) {
+		return victory.Victory{}, false
+	}
+	v := victory.Victory{Term: c.term, Quorums: c.quorums, LeaseRevision: c.leaseRevision,
+		Lease: c.lease, Since: c.since}
+	for _, name := range c.quorums.Members() {
+		p := c.promises[name]
+		if !p.message.Accepted {
+			continue
+		}
+		end := p.at.Add(-p.message.Quiet).Add(c.timing.Permit + c.timing.Drift)
+		if end.After(v.PermitsEnd) && !c.isFirst {
+			v.PermitsEnd = end
+		}
+		v.Followed = append(v.Followed, p.message)
+	}
+	return v, true
+}
+
+// Step returns the candidate after an event, and what is to be done. The member is the same host's.
+func (c Candidate) Step(e event.Event, m member.Member, now time.Time) (Candidate, []effect.Effect) {
+	switch e := e.(type) {
+	case event.Ticked:
+		return c.tick(m, now)
+	case event.KeyRead:
+		return c.read(e, m, now)
+	case event.KeyWritten:
+		return c.written(e, m, now)
+	case event.KeyConflicted:
+		if p := c.pending[e.ID]; p != "" {
+			c = c.answered(e.ID)
+			return c.rest(now), nil
+		}
+	case event.PlatformFailed:
+		if p := c.pending[e.ID]; p != "" {
+			c = c.answered(e.ID)
+			c.failures++
+			return c.rest(now), nil
+		}
+	case event.Received:
+		if f, ok := e.Message.(message.Followed); ok {
+			return c.count(f, now)
+		}
+	}
+	return c, nil
+}
+
+// tick starts a try when the arbiter has been silent, and asks for promises that are missing.
+func (c Candidate) tick(m member.Member, now time.Time) (Candidate, []effect.Effect) {
+	if c.term != 0 {
+		return c.canvass(m, now)
+	}
+	patience := c.timing.Silence + c.turn(m)
+	if now.Sub(m.BeatAt()) < patience || now.Before(c.restAt) || !c.isMember(m) {
+		return c, nil
+	}
+	if c.canSucceed(m, now) {
+		return c.succeed(m, now)
+	}
+	if len(c.pending) > 0 && now.Sub(c.sentAt) < c.timing.LeaseTTL {
+		return c, nil
+	}
+	return c.call(readLease, func(id int64) effect.Effect {
+		return effect.ReadKey{ID: id, Key: c.key(platformkey.Lease), After: -1}
+	}, now)
+}
+
+// turn returns how much longer this host waits than the first successor.
+func (c Candidate) turn(m member.Member) time.Duration {
+	names := m.Successors()
+	if len(names) == 0 {
+		names = m.Configuration().DataCentres[c.dataCentre].EntryHosts
+	}
+	return time.Duration(max(0, slices.Index(names, c.name))) * c.timing.Stagger
+}
+
+func (c Candidate) isMember(m member.Member) bool {
+	return slices.Contains(m.Configuration().DataCentres[c.dataCentre].EntryHosts, c.name)
+}
+
+// canSucceed reports whether the host may take a term that the last arbiter reserved for it: the platform does not
+// answer, and the lease of that arbiter has surely lapsed.
+func (c Candidate) canSucceed(m member.Member, now time.Time) bool {
+	place := slices.Index(m.Successors(), c.name)
+	wait := c.timing.LeaseTTL + time.Duration(place)*2*c.timing.Stagger
+	return place >= 0 && c.failures >= 1 && !m.IsSilent(now) && now.Sub(m.BeatAt()) > wait &&
+		m.Term() < c.reservedTerm(m, place)
+}
+
+// reservedTerm returns the term reserved for the place-th successor by the last record that the member knows of.
+func (c Candidate) reservedTerm(m member.Member, place int) int64 {
+	base := m.Term() - (m.Term()-1)%termrecord.Block
+	return base + 1 + int64(place)
+}
+
+// succeed asks for promises under a reserved term.
+func (c Candidate) succeed(m member.Member, now time.Time) (Candidate, []effect.Effect) {
+	c.term = c.reservedTerm(m, slices.Index(m.Successors(), c.name))
+	c.quorums, c.isFirst, c.since = m.Quorums(), false, now
+	c.leaseRevision = 0
+	c.promises = map[string]promise{}
+	return c.canvass(m, now)
+}
+
+// read handles the lease or the term as the platform has it.
+func (c Candidate) read(e event.KeyRead, m member.Member, now time.Time) (Candidate, []effect.Effect) {
+	p := c.pending[e.ID]
+	c = c.answered(e.ID)
+	switch p {
+	case readLease:
+		c.failures = 0
+		return c.readLease(e, now)
+	case readTerm:
+		c.failures = 0
+		return c.readTerm(e, m, now)
+	case takeLease, writeTerm, renewLease:
+	}
+	return c, nil
+}
+
+func (c Candidate) readLease(e event.KeyRead, now time.Time) (Candidate, []effect.Effect) {
+	if e.Revision == 0 {
+		return c.call(takeLease, func(id int64) effect.Effect {
+			return effect.WriteKey{ID: id, Key: c.key(platformkey.Lease), Value: c.lease, TTL: c.timing.LeaseTTL}
+		}, now)
+	}
+	var holder leaserecord.LeaseRecord
+	if err := json.Unmarshal(e.Value, &holder); err == nil && holder.Holder == c.name && holder.Incarnation == c.incarnation {
+		return c.withLease(e.Revision, now)
+	}
+	return c.rest(now), nil
+}
+
+// withLease goes on to the term once the lease is held.
+func (c Candidate) withLease(revision int64, now time.Time) (Candidate, []effect.Effect) {
+	c.leaseRevision, c.leaseAt = revision, now
+	return c.call(readTerm, func(id int64) effect.Effect {
+		return effect.ReadKey{ID: id, Key: c.key(platformkey.Term), After: -1}
+	}, now)
+}
+
+func (c Candidate) readTerm(e event.KeyRead, m member.Member, now time.Time) (Candidate, []effect.Effect) {
+	old := termrecord.TermRecord{Term: 1 - termrecord.Block}
+	if e.Revision != 0 {
+		if err := json.Unmarshal(e.Value, &old); err != nil {
+			return c.rest(now), nil
+		}
+	}
+	c.isFirst = e.Revision == 0
+	writeID := fmt.Sprintf("%s-%d-%d", c.name, c.incarnation, c.sequence)
+	c.record = old.Next(c.name, writeID, m.Configuration().DataCentres[c.dataCentre].EntryHosts)
+	value, err := json.Marshal(c.record)
+	if err != nil {
+		panic(err)
+	}
+	return c.call(writeTerm, func(id int64) effect.Effect {
+		return effect.WriteKey{ID: id, Key: c.key(platformkey.Term), Value: value, Revision: e.Revision}
+	}, now)
+}
+
+func (c Candidate) written(e event.KeyWritten, m member.Member, now time.Time) (Candidate, []effect.Effect) {
+	p := c.pending[e.ID]
+	c = c.answered(e.ID)
+	switch p {
+	case takeLease:
+		return c.withLease(e.Revision, now)
+	case renewLease:
+		c.leaseRevision, c.leaseAt = e.Revision, now
+	case writeTerm:
+		c.term, c.quorums, c.since = c.record.Term, c.record.Quorums, now
+		c.promises = map[string]promise{}
+		return c.canvass(m, now)
+	case readLease, readTerm:
+	}
+	return c, nil
+}
+
+// canvass asks the members that have not answered, renews the lease meanwhile, and gives up in the end.
+func (c Candidate) canvass(m member.Member, now time.Time) (Candidate, []effect.Effect) {
+	if now.Sub(c.since) > c.timing.Permit || m.Term() > c.term {
+		return c.abandon(now)
+	}
+	var effects []effect.Effect
+	if c.leaseRevision != 0 && now.Sub(c.leaseAt) > c.timing.LeaseRenewal && len(c.pending) == 0 {
+		c, effects = c.call(renewLease, func(id int64) effect.Effect {
+			return effect.WriteKey{ID: id, Key: c.key(platformkey.Lease), Value: c.lease, Revision: c.leaseRevision,
+				TTL: c.timing.LeaseTTL}
+		}, now)
+	}
+	if now.Sub(c.askedAt) < c.timing.Beat/2 && !c.askedAt.IsZero() {
+		return c, effects
+	}
+	c.askedAt = now
+	for _, name := range c.quorums.Members() {
+		if !c.promises[name].message.Accepted {
+			effects = append(effects, effect.Send{To: name, Message: message.Follow{Term: c.term, Candidate: c.name,
+				Incarnation: c.incarnation, First: c.isFirst, Stamp: m.Stamp()}})
+		}
+	}
+	return c, effects
+}
+
+// count takes in a member's answer.
+func (c Candidate) count(f message.Followed, now time.Time) (Candidate, []effect.Effect) {
+	if c.term == 0 || f.Term != c.term {
+		return c, nil
+	}
+	if !f.Accepted && f.Highest > c.term {
+		return c.abandon(now)
+	}
+	promises := make(map[string]promise, len(c.promises)+1)
+	for name, p := range c.promises {
+		promises[name] = p
+	}
+	promises[f.Member] = promise{message: f, at: now}
+	c.promises = promises
+	if c.leaseRevision == 0 {
+		c.quorums = c.quorums.WithAll(f.Quorums)
+	}
+	return c, nil
+}
+
+// abandon gives the try up, and the lease with it.
+func (c Candidate) abandon(now time.Time) (Candidate, []effect.Effect) {
+	var effects []effect.Effect
+	if c.leaseRevision != 0 {
+		c.sequence++
+		effects = append(effects, effect.WriteKey{ID: c.sequence, Key: c.key(platformkey.Lease), Revision: c.leaseRevision})
+	}
+	c.term, c.leaseRevision, c.promises = 0, 0, map[string]promise{}
+	c.restAt = now.Add(c.timing.Silence)
+	return c, effects
+}
+
+func (c Candidate) rest(now time.Time) Candidate {
+	c.restAt = now.Add(c.timing.Stagger)
+	return c
+}
+
+// call sends a call to the platform and remembers what it is for.
+func (c Candidate) call(p purpose, make func(id int64) effect.Effect, now time.Time) (Candidate, []effect.Effect) {
+	c.sequence++
+	c.pending = map[int64]purpose{c.sequence: p}
+	c.sentAt = now
+	return c, []effect.Effect{make(c.sequence)}
+}
+
+func (c Candidate) answered(id int64) Candidate {
+	if c.pending[id] != "" {
+		c.pending = map[int64]purpose{}
+	}
+	return c
+}
+
+func (c Candidate) key(of func(string) platformkey.Key) string { return string(of(c.dataCentre)) }
--- /dev/null
+++ b/core/candidate/promise.go
@@ -0,0 +1,13 @@
+package candidate
+
+import (
+	"time"
+
+	"redwingsill/core/message"
+)
+
+// promise is a member's answer and when it came.
+type promise struct {
+	message message.Followed
+	at      time.Time
+}
--- /dev/null
+++ b/core/cell/cell.go
@@ -0,0 +1,201 @@
+// Package cell is an entry host's part in its cell: always a member, at times a candidate or the arbiter.
+package cell
+
+import (
+	"time"
+
+	"redwingsill/core/arbiter"
+	"redwingsill/core/candidate"
+	"redwingsill/core/configuration"
+	"redwingsill/core/effect"
+	"redwingsill/core/event"
+	"redwingsill/core/hostentry"
+	"redwingsill/core/member"
+	"redwingsill/core/platformkey"
+	"redwingsill/core/snapshot"
+	"redwingsill/core/stamp"
+	"redwingsill/core/timing"
+)
+
+// Cell is the state of the host's part. It is immutable.
+type Cell struct {
+	name        string
+	dataCentre  string
+	incarnation int64
+	timing      timing.Timing
+	member      member.Member
+	candidate   candidate.Candidate
+	arbiter     *arbiter.Arbiter
+	steppedAt   time.Time
+	hosts       map[string]hostentry.HostEntry
+	shown       stamp.Stamp
+	isShown     bool
+	isLeaving   bool
+	sequence    int64
+	readAt      time.Time
+	listedAt    time.Time
+}
+
+// New returns the part of a host that has just started. The incarnation must differ from start to start.
+func New(name, dataCentre string, incarnation int64, t timing.Timing, now time.Time) Cell {
+	return Cell{
+		name: name, dataCentre: dataCentre, incarnation: incarnation, timing: t,
+		member:    member.New(name, incarnation, t, now),
+		candidate: candidate.New(name, dataCentre, incarnation, t, now),
+		steppedAt: now,
+		sequence:  -now.UnixNano(),
+	}
+}
+
+// Member returns the host's part as a member.
+func (c Cell) Member() member.Member { return c.member }
+
+// Arbiter returns the host's part as the arbiter, and whether it is the arbiter.
+func (c Cell) Arbiter() (arbiter.Arbiter, bool) {
+	if c.arbiter == nil {
+		return arbiter.Arbiter{}, false
+	}
+	return *c.arbiter, true
+}
+
+// Hosts returns the entry hosts that are known, by name.
+func (c Cell) Hosts() map[string]hostentry.HostEntry {
+	if hosts := c.member.View().Hosts; len(hosts) > 0 {
+		return hosts
+	}
+	return c.hosts
+}
+
+// Snapshot returns what the host needs to route.
+func (c Cell) Snapshot() snapshot.Snapshot {
+	m := c.member
+	_, declared := m.Configuration().DataCentres[c.dataCentre]
+	return snapshot.New(c.name, c.dataCentre, m.Configuration(), m.Assignment(), m.View()).
+		WithState(declared && m.View().Term > 0 && !c.isLeaving, c.isLeaving)
+}
+
+// Step returns the host's part after an event, and what is to be done.
+func (c Cell) Step(e event.Event, now time.Time) (Cell, []effect.Effect) {
+	if now.Sub(c.steppedAt) > c.timing.Permit {
+		c = c.afterPause(now)
+	}
+	c.steppedAt = now
+	var effects []effect.Effect
+	queue := []event.Event{e}
+	for len(queue) > 0 {
+		var raised []effect.Effect
+		c, raised = c.stepRoles(queue[0], now)
+		queue = queue[1:]
+		for _, r := range raised {
+			if s, ok := r.(effect.Send); ok && s.To == c.name {
+				queue = append(queue, event.Received{From: c.name, Message: s.Message})
+			} else if i, ok := r.(effect.Inform); ok {
+				queue = append(queue, i.Event)
+			} else {
+				effects = append(effects, r)
+			}
+		}
+	}
+	c, shown := c.show()
+	return c, append(effects, shown...)
+}
+
+// WithHandover returns the part that hands a memory over for a steward of this host, and what is to be done.
+func (c Cell) WithHandover(e effect.HandOver, now time.Time) (Cell, []effect.Effect) {
+	var effects []effect.Effect
+	c.member, effects = c.member.WithHandover(e, now)
+	if s, ok := effects[0].(effect.Send); ok && s.To == c.name {
+		return c.Step(event.Received{From: c.name, Message: s.Message}, now)
+	}
+	return c, effects
+}
+
+// stepRoles gives an event to each part in turn.
+func (c Cell) stepRoles(e event.Event, now time.Time) (Cell, []effect.Effect) {
+	c, effects := c.stepSelf(e, now)
+	var more []effect.Effect
+	c.member, more = c.member.Step(e, now)
+	effects = append(effects, more...)
+	if c.arbiter != nil {
+		next, more := c.arbiter.Step(e, c.member, now)
+		effects = append(effects, more...)
+		c.arbiter = &next
+		if next.HasResigned() {
+			c.arbiter = nil
+			c.candidate = c.freshCandidate(now)
+		}
+		return c, effects
+	}
+	c.candidate, more = c.candidate.Step(e, c.member, now)
+	effects = append(effects, more...)
+	if won, ok := c.candidate.Won(); ok && won.Term == c.member.Term() && !c.isLeaving {
+		next := arbiter.New(c.name, c.dataCentre, c.incarnation, c.timing, won, c.member, now)
+		next, more = next.Step(event.Ticked{}, c.member, now)
+		effects = append(effects, more...)
+		c.arbiter = &next
+	}
+	return c, effects
+}
+
+// stepSelf handles what concerns no role: the first configuration and list of hosts.
+func (c Cell) stepSelf(e event.Event, now time.Time) (Cell, []effect.Effect) {
+	switch e := e.(type) {
+	case event.LeaveAsked:
+		c.isLeaving = true
+		c.isShown = false
+	case event.HostsListed:
+		c.hosts = map[string]hostentry.HostEntry{}
+		for _, h := range e.Hosts {
+			if h.Address != "" {
+				c.hosts[h.Name] = h
+			}
+		}
+	case event.KeyRead:
+		if e.ID == c.sequence && c.sequence < 0 {
+			if next, err := configuration.Parse(e.Value); err == nil {
+				c.member = c.member.WithConfiguration(next)
+			}
+		}
+	case event.Ticked:
+		return c.bootstrap(now)
+	}
+	return c, nil
+}
+
+// bootstrap asks the platform for what an arbiter would tell, while there is none.
+func (c Cell) bootstrap(now time.Time) (Cell, []effect.Effect) {
+	var effects []effect.Effect
+	isAlone := now.Sub(c.member.BeatAt()) > c.timing.Silence
+	if isAlone && now.Sub(c.listedAt) > 2*c.timing.Beat {
+		c.listedAt = now
+		effects = append(effects, effect.ListHosts{})
+	}
+	_, declared := c.member.Configuration().DataCentres[c.dataCentre]
+	if isAlone && !declared && now.Sub(c.readAt) > c.timing.Beat {
+		c.readAt = now
+		c.sequence--
+		effects = append(effects, effect.ReadKey{ID: c.sequence, Key: string(platformkey.Configuration), After: -1})
+	}
+	return c, effects
+}
+
+// show publishes a snapshot when something in it has changed.
+func (c Cell) show() (Cell, []effect.Effect) {
+	if now := c.member.Stamp(); c.isShown && now == c.shown {
+		return c, nil
+	}
+	c.shown, c.isShown = c.member.Stamp(), true
+	return c, []effect.Effect{effect.Publish{Snapshot: c.Snapshot()}}
+}
+
+// afterPause drops what may have been overtaken while the process did not run.
+func (c Cell) afterPause(now time.Time) Cell {
+	c.member = c.member.WithSilence(now)
+	c.arbiter = nil
+	c.candidate = c.freshCandidate(now)
+	return c
+}
+
+func (c Cell) freshCandidate(now time.Time) candidate.Candidate {
+	return candidate.New(c.name, c.dataCentre, c.incarnation, c.timing, now).WithRest(now)
+}
--- /dev/null
+++ b/core/change/error.go
@@ -0,0 +1,16 @@
+package change
+
+import (
+	"fmt"
+
+	"redwingsill/core/failure"
+	"redwingsill/core/kind"
+)
+
+// Error is a failure of this package.
+type Error struct{ failure.Failure }
+
+func newConflict(expected, current int64, theirs []string) *Error {
+	return &Error{Failure: failure.New("apply", kind.Conflict,
+		fmt.Errorf("the change was made for revision %d, but revision %d is in force; changed since: %v", expected, current, theirs))}
+}
--- /dev/null
+++ b/core/configuration/homes.go
@@ -0,0 +1,43 @@
+package configuration
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// WithHomes returns the configuration with a home data centre for each slot of each service that has backend
+// servers. A slot that has a home keeps it; the others are spread by rendezvous hashing over the backend servers, so
+// that a data centre's share follows its number of servers.
+func (c Configuration) WithHomes() Configuration {
+	for name, service := range c.Services {
+		homes := c.Homes[name]
+		servers := c.ServersOf(name, "")
+		if len(homes) == service.Slots || len(servers) == 0 {
+			continue
+		}
+		next := make([]string, service.Slots)
+		for slot := range next {
+			best := uint64(0)
+			for _, server := range servers {
+				score := xxhash.Sum64String(name + "/" + strconv.Itoa(slot) + "/" + server.Name)
+				if next[slot] == "" || score > best {
+					best, next[slot] = score, server.DataCentre
+				}
+			}
+		}
+		c.Homes = with(c.Homes, name, next)
+	}
+	return c
+}
+
+// HomeOf returns the data centre of the slot that a hash falls into, and the slot. The centre is empty for an unknown
+// service.
+func (c Configuration) HomeOf(service string, hash uint64) (string, int) {
+	homes := c.Homes[service]
+	if len(homes) == 0 {
+		return "", 0
+	}
+	slot := int(hash % uint64(len(homes)))
+	return homes[slot], slot
+}
--- /dev/null
+++ b/core/effect/effect.go
@@ -0,0 +1,7 @@
+// Package effect holds all that an entry host's decisions ask to be done.
+package effect
+
+// Effect is something that the decisions ask for.
+type Effect interface {
+	effect()
+}
--- /dev/null
+++ b/core/effect/hearverdicts.go
@@ -0,0 +1,6 @@
+package effect
+
+// HearVerdicts asks for the monitoring group's verdicts.
+type HearVerdicts struct{}
+
+func (HearVerdicts) effect() {}
--- /dev/null
+++ b/core/effect/send.go
@@ -0,0 +1,11 @@
+package effect
+
+import "redwingsill/core/message"
+
+// Send sends a message to an entry host. It may be lost.
+type Send struct {
+	To      string
+	Message message.Message
+}
+
+func (Send) effect() {}
--- /dev/null
+++ b/core/event/keyread.go
@@ -0,0 +1,10 @@
+package event
+
+// KeyRead answers an effect ReadKey. Revision 0 means that the key is absent.
+type KeyRead struct {
+	ID       int64
+	Value    []byte
+	Revision int64
+}
+
+func (KeyRead) event() {}
--- /dev/null
+++ b/core/event/submitted.go
@@ -0,0 +1,15 @@
+package event
+
+import "redwingsill/core/request"
+
+// Submitted hands a request to the steward of a backend server.
+type Submitted struct {
+	Server  string
+	Ticket  uint64
+	Request request.Request
+}
+
+func (Submitted) event() {}
+
+// ServerName implements [ServerEvent].
+func (e Submitted) ServerName() string { return e.Server }
--- /dev/null
+++ b/core/host/host.go
@@ -0,0 +1,254 @@
+// Package host is every decision of one entry host as one value: its part in its cell, its stewards and its gateway.
+package host
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"redwingsill/core/cell"
+	"redwingsill/core/effect"
+	"redwingsill/core/event"
+	"redwingsill/core/gateway"
+	"redwingsill/core/message"
+	"redwingsill/core/outcome"
+	"redwingsill/core/resource"
+	"redwingsill/core/route"
+	"redwingsill/core/snapshot"
+	"redwingsill/core/steward"
+	"redwingsill/core/timing"
+)
+
+// heatRate is the requests per second from which a key is reported.
+const heatRate = 5
+
+// Host is the state of one entry host. It is immutable, and does nothing of its own: [Host.Step] takes what happened
+// and returns what is to be done, by the time that the caller gives. All times of one host must come from one clock
+// that never runs backwards.
+type Host struct {
+	timing   timing.Timing
+	cell     cell.Cell
+	snapshot snapshot.Snapshot
+	stewards map[string]steward.Steward
+	gateway  gateway.Gateway
+	calls    map[uint64]call
+	ticket   uint64
+	loads    map[string]float64
+	heatedAt time.Time
+}
+
+// New returns a host that has just started. The incarnation must differ from start to start.
+func New(name, dataCentre string, incarnation int64, t timing.Timing, now time.Time) Host {
+	return Host{
+		timing:   t,
+		cell:     cell.New(name, dataCentre, incarnation, t, now),
+		stewards: map[string]steward.Steward{},
+		gateway:  gateway.New(),
+		calls:    map[uint64]call{},
+		loads:    map[string]float64{},
+	}
+}
+
+// Cell returns the host's part in its cell.
+func (h Host) Cell() cell.Cell { return h.cell }
+
+// Snapshot returns what the host routes by.
+func (h Host) Snapshot() snapshot.Snapshot { return h.snapshot }
+
+// Steward returns the steward of a backend server as this host has it, and whether it has one.
+func (h Host) Steward(server string) (steward.Steward, bool) {
+	s, ok := h.stewards[server]
+	return s, ok
+}
+
+// Step returns the host after an event, and what is to be done. The effects are Send, ReadKey, WriteKey, ListHosts,
+// HearVerdicts, Run, Abort and Tell; all others are carried out within.
+func (h Host) Step(e event.Event, now time.Time) (Host, []effect.Effect) {
+	var out, effects []effect.Effect
+	h, effects = h.take(e, now)
+	for len(effects) > 0 {
+		next := effects[0]
+		effects = effects[1:]
+		var more []effect.Effect
+		switch f := next.(type) {
+		case effect.Publish:
+			h, more = h.publish(f.Snapshot, now)
+		case effect.Instruct:
+			h, more = h.instruct(f.Event, now)
+		case effect.Inform:
+			h.cell, more = h.cell.Step(f.Event, now)
+		case effect.HandOver:
+			h.cell, more = h.cell.WithHandover(f, now)
+		case effect.Tell:
+			h, more = h.told(f, now)
+			for _, m := range more {
+				if t, ok := m.(effect.Tell); ok {
+					out = append(out, t)
+				}
+			}
+			more = slices.DeleteFunc(more, isTell)
+		default:
+			out = append(out, f)
+		}
+		effects = append(effects, more...)
+	}
+	return h, out
+}
+
+// take gives an event to the part of the host that it concerns.
+func (h Host) take(e event.Event, now time.Time) (Host, []effect.Effect) {
+	switch e := e.(type) {
+	case event.Asked:
+		h.gateway = h.gateway.WithRequest()
+		return h.open(call{request: e.Request, ticket: e.Ticket}, now)
+	case event.Received:
+		switch m := e.Message.(type) {
+		case message.Ask:
+			r := m.Request.WithDeadline(now.Add(m.Request.Patience))
+			return h.open(call{request: r, from: e.From, ticket: m.Ticket, server: m.Server, hops: m.Hops}, now)
+		case message.Told:
+			h.loads = maps.Clone(h.loads)
+			h.loads[m.Load.Server] = m.Load.Score()
+			return h, []effect.Effect{effect.Tell{Ticket: m.Ticket, Outcome: m.Outcome, Load: m.Load}}
+		}
+	case event.Ticked:
+		return h.tick(now)
+	case event.ServerEvent:
+		return h.instruct(e, now)
+	}
+	var effects []effect.Effect
+	h.cell, effects = h.cell.Step(e, now)
+	return h, effects
+}
+
+// open takes a request under a ticket of this host's own.
+func (h Host) open(c call, now time.Time) (Host, []effect.Effect) {
+	h.ticket++
+	return h.try(h.ticket, c, now)
+}
+
+// try sends a request to where the snapshot says.
+func (h Host) try(ticket uint64, c call, now time.Time) (Host, []effect.Effect) {
+	c.tries++
+	c.againAt = time.Time{}
+	h.calls = maps.Clone(h.calls)
+	loads := func(server string) float64 { return h.loads[server] }
+	switch to := route.Choose(&h.snapshot, c.request, c.server, c.hops, loads, ticket*0x9e3779b97f4a7c15).(type) {
+	case route.Local:
+		c.asked = to.Server
+		h.calls[ticket] = c
+		return h.instruct(event.Submitted{Server: to.Server, Ticket: ticket, Request: c.request}, now)
+	case route.Peer:
+		c.asked = to.Host
+		h.calls[ticket] = c
+		ask := message.Ask{Ticket: ticket, Request: c.request.WithPatience(now), Server: to.Server, Hops: c.hops + 1}
+		return h, []effect.Effect{effect.Send{To: to.Host, Message: ask}}
+	case route.Nowhere:
+		h.calls[ticket] = c
+		return h, []effect.Effect{effect.Tell{Ticket: ticket, Outcome: outcome.NotRun{Reason: to.Reason,
+			RetryAfter: h.timing.Beat, Moved: true}}}
+	}
+	return h, nil
+}
+
+// told passes an outcome on to who asked, or tries again.
+func (h Host) told(t effect.Tell, now time.Time) (Host, []effect.Effect) {
+	c, ok := h.calls[t.Ticket]
+	if !ok {
+		return h, nil
+	}
+	h.calls = maps.Clone(h.calls)
+	if c.from == "" {
+		next, wait, again := h.gateway.Again(t.Outcome, c.tries, c.request.Deadline, now)
+		h.gateway = next
+		if again {
+			c.againAt = now.Add(wait)
+			h.calls[t.Ticket] = c
+			return h, nil
+		}
+	}
+	delete(h.calls, t.Ticket)
+	if c.from == "" {
+		t.Ticket = c.ticket
+		return h, []effect.Effect{t}
+	}
+	return h, []effect.Effect{effect.Send{To: c.from, Message: message.Told{Ticket: c.ticket, Outcome: t.Outcome, Load: t.Load}}}
+}
+
+// tick passes time to every part.
+func (h Host) tick(now time.Time) (Host, []effect.Effect) {
+	var effects, more []effect.Effect
+	for _, server := range slices.Sorted(maps.Keys(h.stewards)) {
+		h, more = h.instruct(event.Ticked{Server: server}, now)
+		effects = append(effects, more...)
+		if now.Sub(h.heatedAt) > h.timing.Beat {
+			h.cell, more = h.cell.Step(event.Heated{Server: server, Heats: h.stewards[server].Heats(heatRate, now)}, now)
+			effects = append(effects, more...)
+		}
+	}
+	if now.Sub(h.heatedAt) > h.timing.Beat {
+		h.heatedAt = now
+	}
+	for _, ticket := range slices.Sorted(maps.Keys(h.calls)) {
+		c := h.calls[ticket]
+		switch {
+		case !c.againAt.IsZero() && !now.Before(c.againAt):
+			h, more = h.try(ticket, c, now)
+			effects = append(effects, more...)
+		case now.After(c.request.Deadline.Add(h.timing.Beat)):
+			effects = append(effects, effect.Tell{Ticket: ticket, Outcome: outcome.Unknown{Reason: "no answer in time"}})
+		}
+	}
+	h.cell, more = h.cell.Step(event.Ticked{}, now)
+	return h, append(effects, more...)
+}
+
+// publish takes over a new snapshot and tells the stewards.
+func (h Host) publish(s snapshot.Snapshot, now time.Time) (Host, []effect.Effect) {
+	h.snapshot = s
+	var effects []effect.Effect
+	for _, server := range slices.Sorted(maps.Keys(h.stewards)) {
+		var more []effect.Effect
+		h, more = h.instruct(event.Assigned{Server: server, Assignment: s.Assignment, Configuration: s.Configuration}, now)
+		effects = append(effects, more...)
+	}
+	return h, effects
+}
+
+// instruct gives an event to the steward that it names. A permit makes the steward where there is none.
+func (h Host) instruct(e event.ServerEvent, now time.Time) (Host, []effect.Effect) {
+	server := e.ServerName()
+	var effects []effect.Effect
+	s, ok := h.stewards[server]
+	if !ok {
+		made, ok := NewSteward(h.snapshot, server, h.timing)
+		if !ok {
+			return h, nil
+		}
+		s, effects = made.Step(event.Assigned{Server: server, Assignment: h.snapshot.Assignment,
+			Configuration: h.snapshot.Configuration}, now)
+	}
+	s, more := s.Step(e, now)
+	h.stewards = maps.Clone(h.stewards)
+	h.stewards[server] = s
+	return h, append(effects, more...)
+}
+
+// NewSteward returns the steward of a declared backend server, without a permit, and whether the server is declared.
+func NewSteward(s snapshot.Snapshot, server string, t timing.Timing) (steward.Steward, bool) {
+	c := s.Configuration
+	b, ok := c.BackendServers[server]
+	if !ok {
+		return steward.Steward{}, false
+	}
+	var ranks []resource.Rank
+	for _, name := range slices.Sorted(maps.Keys(c.Ranks)) {
+		ranks = append(ranks, c.Ranks[name])
+	}
+	return steward.New(b, c.Services[b.Service], ranks, t), true
+}
+
+func isTell(e effect.Effect) bool {
+	_, ok := e.(effect.Tell)
+	return ok
+}
--- /dev/null
+++ b/core/member/handover.go
@@ -0,0 +1,13 @@
+package member
+
+import (
+	"time"
+
+	"redwingsill/core/release"
+)
+
+// handover is a memory sent to the heir of a release.
+type handover struct {
+	order  release.Release
+	sentAt time.Time
+}
--- /dev/null
+++ b/core/message/beat.go
@@ -0,0 +1,39 @@
+package message
+
+import (
+	"time"
+
+	"redwingsill/core/assignment"
+	"redwingsill/core/configuration"
+	"redwingsill/core/permit"
+	"redwingsill/core/quorum"
+	"redwingsill/core/release"
+	"redwingsill/core/stamp"
+	"redwingsill/core/view"
+)
+
+// Beat is the arbiter's word to a member: in answer to a report, or at once when something has changed.
+type Beat struct {
+	Term        int64
+	Arbiter     string
+	Incarnation int64
+	Round       int64
+	// Echo is the SentAt of the member's newest report. Permits count from it.
+	Echo     time.Time         `json:",omitzero"`
+	Permits  []permit.Permit   `json:",omitempty"`
+	Releases []release.Release `json:",omitempty"`
+	// Successors are the hosts that may follow the arbiter with the terms after Term while the platform is out.
+	Successors []string       `json:",omitempty"`
+	Quorums    quorum.Quorums `json:",omitempty"`
+	// Urgent asks for a report at once.
+	Urgent bool `json:",omitempty"`
+	Stamp  stamp.Stamp
+	// Configuration, Assignment and View are sent where the member's own are older.
+	Configuration *configuration.Configuration `json:",omitempty"`
+	Assignment    *assignment.Assignment       `json:",omitempty"`
+	View          *view.View                   `json:",omitempty"`
+	// Resigned says that the arbiter has stopped.
+	Resigned bool `json:",omitempty"`
+}
+
+func (Beat) message() {}
--- /dev/null
+++ b/core/message/follow.go
@@ -0,0 +1,16 @@
+package message
+
+import "redwingsill/core/stamp"
+
+// Follow asks a member to follow a new arbiter and none of a lower term.
+type Follow struct {
+	Term        int64
+	Candidate   string
+	Incarnation int64
+	// First says that the platform's counter had no term before, so that no promise can have been forgotten.
+	First bool `json:",omitempty"`
+	// Stamp is what the candidate holds; the member sends back what it has newer.
+	Stamp stamp.Stamp
+}
+
+func (Follow) message() {}
--- /dev/null
+++ b/core/message/followed.go
@@ -0,0 +1,33 @@
+package message
+
+import (
+	"time"
+
+	"redwingsill/core/assignment"
+	"redwingsill/core/configuration"
+	"redwingsill/core/permit"
+	"redwingsill/core/quorum"
+	"redwingsill/core/view"
+)
+
+// Followed answers a [Follow].
+type Followed struct {
+	Term   int64
+	Member string
+	// Incarnation tells one start of the member from another.
+	Incarnation int64
+	Accepted    bool
+	// Highest is the highest term that the member follows.
+	Highest int64
+	// Quiet is the time since the member last reported to an arbiter of an earlier term.
+	Quiet time.Duration
+	// Holdings are the member's valid permits.
+	Holdings []permit.Permit `json:",omitempty"`
+	// Quorums are the members that must agree on the next arbiter as far as the member knows.
+	Quorums       quorum.Quorums               `json:",omitempty"`
+	Configuration *configuration.Configuration `json:",omitempty"`
+	Assignment    *assignment.Assignment       `json:",omitempty"`
+	View          *view.View                   `json:",omitempty"`
+}
+
+func (Followed) message() {}
--- /dev/null
+++ b/core/permit/permit.go
@@ -0,0 +1,32 @@
+// Package permit holds the right of one entry host to send orders to one backend server.
+package permit
+
+import (
+	"time"
+
+	"redwingsill/core/grant"
+)
+
+// Permit is the right to be the steward of a backend server until it expires.
+type Permit struct {
+	Server string
+	Grant  grant.Grant
+	// Origin is the grant under which the present memory of request ids began. It stays the same while one steward
+	// holds the server without a break, and when a steward hands its memory to the next.
+	Origin grant.Grant
+	// Validity is the length of the permit when it was sent, from the moment the holder last reported.
+	Validity time.Duration `json:",omitempty"`
+	// Expiry is the end by the holder's clock. It is not sent.
+	Expiry time.Time `json:"-"`
+}
+
+// IsValid reports whether the permit has not expired at now.
+func (p Permit) IsValid(now time.Time) bool {
+	return !p.Grant.IsZero() && now.Before(p.Expiry)
+}
+
+// WithExpiry returns the permit ending at a time by the holder's clock.
+func (p Permit) WithExpiry(at time.Time) Permit {
+	p.Expiry = at
+	return p
+}
--- /dev/null
+++ b/core/resource/resource.go
@@ -0,0 +1,28 @@
+// Package resource holds what operators declare: data centres, services, backend servers, ranks of work and
+// ownership policies.
+package resource
+
+// Resource is a declared resource. The variants are [DataCentre], [Service], [BackendServer], [Rank] and
+// [OwnershipPolicy].
+type Resource interface {
+	// ResourceName returns the name, unique among the resources of one kind.
+	ResourceName() string
+	resource()
+}
+
+// KindOf returns the name of r's kind as it stands in a configuration file.
+func KindOf(r Resource) string {
+	switch r.(type) {
+	case DataCentre:
+		return "DataCentre"
+	case Service:
+		return "Service"
+	case BackendServer:
+		return "BackendServer"
+	case Rank:
+		return "Rank"
+	case OwnershipPolicy:
+		return "OwnershipPolicy"
+	}
+	return ""
+}
--- /dev/null
+++ b/core/steward/permits.go
@@ -0,0 +1,135 @@
+package steward
+
+import (
+	"maps"
+	"time"
+
+	"redwingsill/core/effect"
+	"redwingsill/core/event"
+	"redwingsill/core/memory"
+	"redwingsill/core/message"
+	"redwingsill/core/outcome"
+	"redwingsill/core/permit"
+	"redwingsill/core/queue"
+	"redwingsill/core/unit"
+)
+
+// changePermit renews, replaces or takes away the permit.
+func (s Steward) changePermit(next permit.Permit, now time.Time) (Steward, []effect.Effect) {
+	if next.Grant.IsZero() {
+		s.permit = s.permit.WithExpiry(time.Time{})
+		return s.refuseQueued(func(queue.Item) bool { return true }, now)
+	}
+	if next.Grant.Compare(s.permit.Grant) < 0 {
+		return s, nil
+	}
+	if next.Origin != s.permit.Origin {
+		s = s.begin(next, now)
+	} else if next.Grant != s.permit.Grant {
+		s.releases = withoutWhole(s.releases)
+	}
+	s.permit = next
+	return s, nil
+}
+
+// begin starts a new holding: with the memory that the holder before handed over, or with none.
+func (s Steward) begin(next permit.Permit, now time.Time) Steward {
+	s.memory = memory.New(maxRemembered, s.timing.Retention, now.Add(memory.MaxAhead()+s.timing.Skew))
+	for _, a := range s.adoptions {
+		if a.Origin == next.Origin {
+			s.memory = memory.New(maxRemembered, s.timing.Retention, a.Cutoff).WithEntries(a.Entries, a.Cutoff)
+		}
+	}
+	s.adoptions = map[int64]message.Adopt{}
+	s.releases = map[int64]releasing{}
+	s.pace = s.pace.cold()
+	return s
+}
+
+// adopt keeps the memory that another steward hands over, until the permit or the assignment it belongs to comes.
+func (s Steward) adopt(a message.Adopt, now time.Time) Steward {
+	if len(a.Units) > 0 {
+		s.memory = s.memory.WithEntries(a.Entries, a.Cutoff)
+	}
+	s.adoptions = maps.Clone(s.adoptions)
+	s.adoptions[a.ReleaseID] = a
+	return s
+}
+
+// assign takes over a newer assignment and configuration.
+func (s Steward) assign(e event.Assigned, now time.Time) (Steward, []effect.Effect) {
+	s = s.configure(e)
+	next := e.Assignment
+	if next.Term < s.assignment.Term || next.Term == s.assignment.Term && next.Version <= s.assignment.Version {
+		return s, nil
+	}
+	for _, u := range next.UnitsOf(s.server.Name) {
+		if s.assignment.OwnerOfUnit(u) != s.server.Name && !s.hasAdopted(u) {
+			s.memory = s.memory.WithUnitCutoff(u, now.Add(memory.MaxAhead()+s.timing.Skew))
+		}
+	}
+	for _, r := range s.releases {
+		if !r.order.All && r.isDone {
+			s.releases = withoutRelease(s.releases, r.order.ID)
+		}
+	}
+	s.adoptions = withoutUnits(s.adoptions)
+	s.assignment = next
+	return s.refuseQueued(func(i queue.Item) bool {
+		hash := i.Request.Hash()
+		return hash != 0 && next.OwnerOfUnit(next.UnitOf(i.Request.Service, hash)) != s.server.Name
+	}, now)
+}
+
+func (s Steward) configure(e event.Assigned) Steward {
+	if server, ok := e.Configuration.BackendServers[s.server.Name]; ok {
+		s.server = server
+	}
+	if service, ok := e.Configuration.Services[s.server.Service]; ok {
+		s.service = service
+	}
+	return s
+}
+
+func (s Steward) hasAdopted(u unit.Unit) bool {
+	for _, a := range s.adoptions {
+		for _, v := range a.Units {
+			if v == u || v == (unit.Unit{Service: u.Service, Slot: u.Slot}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// refuseQueued tells all waiting requests that match that they did not run.
+func (s Steward) refuseQueued(matches func(queue.Item) bool, now time.Time) (Steward, []effect.Effect) {
+	var effects []effect.Effect
+	for _, i := range s.queue.Items() {
+		if matches(i) {
+			var told []effect.Effect
+			s.queue = s.queue.Without(i)
+			s, told = s.settle(i, outcome.NotRun{Reason: s.server.Name + " has moved", Moved: true}, now)
+			effects = append(effects, told...)
+		}
+	}
+	return s, effects
+}
+
+func withoutWhole(m map[int64]releasing) map[int64]releasing {
+	next := maps.Clone(m)
+	maps.DeleteFunc(next, func(_ int64, r releasing) bool { return r.order.All })
+	return next
+}
+
+func withoutRelease(m map[int64]releasing, id int64) map[int64]releasing {
+	next := maps.Clone(m)
+	delete(next, id)
+	return next
+}
+
+func withoutUnits(m map[int64]message.Adopt) map[int64]message.Adopt {
+	next := maps.Clone(m)
+	maps.DeleteFunc(next, func(_ int64, a message.Adopt) bool { return len(a.Units) > 0 })
+	return next
+}
--- /dev/null
+++ b/core/victory/victory.go
@@ -0,0 +1,24 @@
+// Package victory holds what a new arbiter starts from.
+package victory
+
+import (
+	"time"
+
+	"redwingsill/core/message"
+	"redwingsill/core/quorum"
+)
+
+// Victory is what a candidate knows when a majority follows it.
+type Victory struct {
+	Term    int64
+	Quorums quorum.Quorums
+	// Lease is the value of the lease, and LeaseRevision its revision, or 0 where the lease is not held.
+	Lease         []byte
+	LeaseRevision int64
+	// Since is a time after which every promise was made.
+	Since time.Time
+	// PermitsEnd is when the last permit of every earlier arbiter has surely ended.
+	PermitsEnd time.Time
+	// Followed are the promises of the majority.
+	Followed []message.Followed
+}
