I/O packages, stand-ins and the command line

Cause: the decisions need peers to speak to. Change: io/ has one package for each peer or protocol: callers and operators over HTTP, other entry hosts over jsonrpc2 with a handshake by shared secret, the platform, the monitoring group, backend servers. io/standin has small stand-ins. Ruled out: net/http's own re-sends, by bodies that can't be rewound and a connection that knows what was written.

--- /dev/null
+++ b/io/commandline/apply.go
@@ -0,0 +1,117 @@
+package commandline
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/user"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"redwingsill/core/configuration"
+	"redwingsill/core/kind"
+	"redwingsill/io/operator"
+)
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "declare the resources of a file; accepted means that the platform has them for good",
+		ArgsUsage: "FILE",
+		Description: "FILE is YAML or JSON; - is standard input. Exit status: 0 accepted, 1 not accepted, 2 wrong input,\n" +
+			"3 conflict with another change, 4 unknown: ask with 'redwingsill find CHANGE'.",
+		Flags: clientFlags(
+			&cli.BoolFlag{Name: "dry-run", Usage: "only show what would change"},
+			&cli.Int64Flag{Name: "expected-revision", Usage: "the revision that the change is made for; -1 is the one in force", Value: -1},
+			setting("change", "REDWINGSILL_CHANGE", "the id of the change, to ask about it later; made up where not given", ""),
+			&cli.StringSliceFlag{Name: "remove", Usage: "a resource to remove, as Kind/name; may be repeated"},
+		),
+		Action: runApply,
+	}
+}
+
+func runApply(ctx context.Context, c *cli.Command) error {
+	operators, err := clientOf(c)
+	if err != nil {
+		return err
+	}
+	s, err := submissionOf(c)
+	if err != nil {
+		return err
+	}
+	if s.ExpectedRevision < 0 {
+		current, _, err := operators.configuration(ctx)
+		if err != nil {
+			return err
+		}
+		s.ExpectedRevision = current.Revision
+	}
+	text, err := operators.call(ctx, http.MethodPost, "/v1/changes", s)
+	if err != nil {
+		return err
+	}
+	if c.String("format") == "json" {
+		_, err = c.Root().Writer.Write(text)
+		return err
+	}
+	var done struct {
+		ChangeID string
+		Revision int64
+		Summary  []string
+		DryRun   bool
+	}
+	if err := json.Unmarshal(text, &done); err != nil {
+		return newError("apply", kind.Unknown, err)
+	}
+	word := "accepted"
+	if done.DryRun {
+		word = "would be accepted"
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "%s as revision %d, change %s\n%s\n", word, done.Revision, done.ChangeID, strings.Join(done.Summary, "\n"))
+	return err
+}
+
+func submissionOf(c *cli.Command) (operator.Submission, error) {
+	s := operator.Submission{ID: c.String("change"), By: "unknown", ExpectedRevision: c.Int64("expected-revision"), DryRun: c.Bool("dry-run")}
+	if s.ID == "" {
+		s.ID = uuid.Must(uuid.NewV7()).String()
+	}
+	if u, err := user.Current(); err == nil {
+		s.By = u.Username
+	}
+	for _, path := range c.StringSlice("remove") {
+		kindName, name, _ := strings.Cut(path, "/")
+		raw, err := json.Marshal(map[string]string{"Kind": kindName, "Name": name})
+		if err != nil {
+			return s, newError("apply", kind.Invalid, err)
+		}
+		s.Remove = append(s.Remove, raw)
+	}
+	if c.Args().Len() == 0 && len(s.Remove) > 0 {
+		return s, nil
+	}
+	if c.Args().Len() != 1 {
+		return s, newError("apply", kind.Invalid, fmt.Errorf("one FILE is needed"))
+	}
+	text, err := fileText(c.Args().First())
+	if err != nil {
+		return s, newError("apply", kind.Invalid, err)
+	}
+	all, err := configuration.ParseResources(text)
+	if err != nil {
+		return s, newError("apply", kind.Invalid, err)
+	}
+	formatted, err := configuration.FormatResources(all)
+	if err != nil {
+		return s, newError("apply", kind.Invalid, err)
+	}
+	var file struct{ Resources []json.RawMessage }
+	if err := json.Unmarshal(formatted, &file); err != nil {
+		return s, newError("apply", kind.Invalid, err)
+	}
+	s.Declare = file.Resources
+	return s, nil
+}
--- /dev/null
+++ b/io/commandline/standin.go
@@ -0,0 +1,176 @@
+package commandline
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"redwingsill/core/configuration"
+	"redwingsill/core/hostentry"
+	"redwingsill/core/kind"
+	"redwingsill/core/resource"
+	"redwingsill/io/standin/callers"
+	"redwingsill/io/standin/monitor"
+	"redwingsill/io/standin/platform"
+	"redwingsill/io/standin/server"
+	"redwingsill/io/task"
+)
+
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "run a small stand-in for something outside the system",
+		Commands: []*cli.Command{
+			{
+				Name:  "platform",
+				Usage: "the platform's service: keys, leases, watches and a list of hosts; switches under /admin",
+				Flags: []cli.Flag{
+					setting("address", "REDWINGSILL_ADDRESS", "the IP number and port to serve on", "127.0.0.1:9000"),
+					setting("hosts", "REDWINGSILL_HOSTS", "a JSON file with the list of entry hosts", ""),
+				},
+				Action: runPlatform,
+			},
+			{
+				Name:  "monitor",
+				Usage: "the monitoring group's verdicts; switches under /admin",
+				Flags: []cli.Flag{setting("address", "REDWINGSILL_ADDRESS", "the IP number and port to serve on", "127.0.0.1:9001")},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return serveUntilSignal(ctx, c.String("address"), &http.Server{Handler: monitor.New().Handler(), ReadHeaderTimeout: readHeaderTimeout})
+				},
+			},
+			{
+				Name:  "server",
+				Usage: "a backend server as a configuration file declares it; switches under /admin",
+				Flags: []cli.Flag{
+					setting("configuration", "REDWINGSILL_CONFIGURATION", "the file that declares the server", ""),
+					setting("name", "REDWINGSILL_NAME", "the name of the BackendServer", ""),
+					&cli.DurationFlag{Name: "service-time", Usage: "the mean time of one request", Value: 4 * time.Millisecond, Sources: cli.EnvVars("REDWINGSILL_SERVICE_TIME")},
+					&cli.DurationFlag{Name: "cold-for", Usage: "how long after its start the server is three times as slow", Value: time.Second, Sources: cli.EnvVars("REDWINGSILL_COLD_FOR")},
+					&cli.Uint64Flag{Name: "seed", Usage: "the seed of the service times", Value: 1, Sources: cli.EnvVars("REDWINGSILL_SEED")},
+				},
+				Action: runServer,
+			},
+			{
+				Name:  "callers",
+				Usage: "callers that send a mixed load and judge the answers; exit status 1 where an invariant broke",
+				Flags: []cli.Flag{
+					&cli.StringSliceFlag{Name: "entry", Usage: "the URL of an entry host's caller address; may be repeated", Sources: cli.EnvVars("REDWINGSILL_ENTRIES")},
+					&cli.StringSliceFlag{Name: "stream", Usage: "service:rank:rate[:once][:keyed][:deadline=1s]; may be repeated", Sources: cli.EnvVars("REDWINGSILL_STREAMS")},
+					setting("configuration", "REDWINGSILL_CONFIGURATION", "the file that declares the servers to judge by", ""),
+					&cli.DurationFlag{Name: "duration", Usage: "how long to send", Value: 15 * time.Second, Sources: cli.EnvVars("REDWINGSILL_DURATION")},
+					&cli.Uint64Flag{Name: "seed", Usage: "the seed of the load", Value: 1, Sources: cli.EnvVars("REDWINGSILL_SEED")},
+					setting("format", "REDWINGSILL_FORMAT", "table or json", "table"),
+				},
+				Action: runCallers,
+			},
+		},
+	}
+}
+
+func runPlatform(ctx context.Context, c *cli.Command) error {
+	p := platform.New(time.Now)
+	if path := c.String("hosts"); path != "" {
+		text, err := fileText(path)
+		if err != nil {
+			return newError("read hosts", kind.Invalid, err)
+		}
+		var list struct{ Hosts []hostentry.HostEntry }
+		if err := json.Unmarshal(text, &list); err != nil {
+			return newError("read hosts", kind.Invalid, err)
+		}
+		p.SetHosts(list.Hosts)
+	}
+	return serveUntilSignal(ctx, c.String("address"), &http.Server{Handler: p.Handler(), ReadHeaderTimeout: readHeaderTimeout})
+}
+
+func runServer(ctx context.Context, c *cli.Command) error {
+	all, err := declaredServers(c.String("configuration"))
+	if err != nil {
+		return err
+	}
+	for _, b := range all {
+		if b.Name == c.String("name") {
+			s := server.New(b.Name, b.Slots, b.Connections, b.ChecksGrants, c.Duration("service-time"), c.Duration("cold-for"), c.Uint64("seed"))
+			return serveUntilSignal(ctx, b.Address, s.HTTP())
+		}
+	}
+	return newError("run server", kind.Invalid, fmt.Errorf("--name: %q is not declared in %s", c.String("name"), c.String("configuration")))
+}
+
+func runCallers(ctx context.Context, c *cli.Command) error {
+	declared, err := declaredServers(c.String("configuration"))
+	if err != nil {
+		return err
+	}
+	var bases []string
+	for _, b := range declared {
+		bases = append(bases, "http://"+b.Address)
+	}
+	var wrong checks
+	wrong.require(len(c.StringSlice("entry")) > 0, "--entry", "", "at least one URL")
+	wrong.require(len(c.StringSlice("stream")) > 0, "--stream", "", "at least one")
+	if err := wrong.err(); err != nil {
+		return err
+	}
+	load, closeLoad, err := callers.New(c.StringSlice("entry"), c.StringSlice("stream"), c.Uint64("seed"))
+	if err != nil {
+		return newError("read streams", kind.Invalid, err)
+	}
+	defer closeLoad()
+	load.Run(ctx, c.Duration("duration"))
+	report, err := load.Judge(ctx, bases)
+	if err != nil {
+		return newError("judge", kind.Unavailable, err)
+	}
+	if c.String("format") == "json" {
+		encoder := json.NewEncoder(c.Root().Writer)
+		encoder.SetIndent("", "  ")
+		err = encoder.Encode(report)
+	} else {
+		err = report.Print(c.Root().Writer)
+	}
+	if err == nil && !report.IsSound() {
+		return newError("judge", kind.Unavailable, fmt.Errorf("an invariant broke"))
+	}
+	return err
+}
+
+func declaredServers(path string) ([]resource.BackendServer, error) {
+	text, err := fileText(path)
+	if err != nil {
+		return nil, newError("read configuration", kind.Invalid, err)
+	}
+	all, err := configuration.ParseResources(text)
+	if err != nil {
+		return nil, newError("read configuration", kind.Invalid, err)
+	}
+	var found []resource.BackendServer
+	for _, r := range all {
+		if b, ok := r.(resource.BackendServer); ok {
+			found = append(found, b)
+		}
+	}
+	return found, nil
+}
+
+func serveUntilSignal(ctx context.Context, address string, s *http.Server) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return newError("listen", kind.Unavailable, err)
+	}
+	tasks, wait := task.New(ctx)
+	tasks.Go(func(context.Context) { _ = s.Serve(listener) })
+	<-ctx.Done()
+	_ = s.Close()
+	wait()
+	return nil
+}
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,228 @@
+// Package entry runs the decisions of one entry host: it feeds them events and carries out their effects.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"redwingsill/core/cell"
+	"redwingsill/core/event"
+	"redwingsill/core/gateway"
+	"redwingsill/core/message"
+	"redwingsill/core/rcu"
+	"redwingsill/core/snapshot"
+	"redwingsill/core/steward"
+	"redwingsill/io/clock"
+	"redwingsill/io/metrics"
+	"redwingsill/io/monitor"
+	"redwingsill/io/peer"
+	"redwingsill/io/platform"
+	"redwingsill/io/task"
+	"redwingsill/io/trace"
+)
+
+// The sizes and times of the control goroutine.
+const (
+	inboxSize    = 1024
+	tickInterval = 100 * time.Millisecond
+	heatRate     = 5 // requests per second from which a key is reported
+	cancelWait   = 100 * time.Millisecond
+)
+
+// Entry is a running entry host. Its methods may be called at the same time.
+type Entry struct {
+	settings Settings
+	clock    clock.Clock
+	platform *platform.Platform
+	monitor  *monitor.Monitor
+	peers    *peer.Peer
+	metrics  *metrics.Metrics
+	tracer   *trace.Tracer
+	log      *slog.Logger
+	tasks    *task.Group
+
+	inbox    chan input
+	cell     *rcu.Value[cell.Cell]
+	snapshot *rcu.Value[snapshot.Snapshot]
+	gateway  *rcu.Value[gateway.Gateway]
+	posts    *rcu.Value[map[string]*post]
+	loads    sync.Map // server name -> *atomic.Uint64, the bits of a float64
+	waiters  sync.Map // ticket -> chan effect.Tell
+	aborts   sync.Map // ticket -> context.CancelFunc
+	tickets  atomic.Uint64
+	inFlight atomic.Int64
+}
+
+// New returns a host that does nothing until [Entry.Start].
+func New(s Settings, c clock.Clock, p *platform.Platform, m *monitor.Monitor, figures *metrics.Metrics,
+	tracer *trace.Tracer, log *slog.Logger) *Entry {
+	return &Entry{
+		settings: s, clock: c, platform: p, monitor: m, metrics: figures, tracer: tracer, log: log,
+		inbox:    make(chan input, inboxSize),
+		cell:     rcu.New(cell.New(s.Name, s.DataCentre, s.Incarnation, s.Timing, c.Now())),
+		snapshot: rcu.New(snapshot.Snapshot{}),
+		gateway:  rcu.New(gateway.New()),
+		posts:    rcu.New(map[string]*post{}),
+	}
+}
+
+// Start connects the host to its peers and starts its goroutines. The clean-up stops them.
+func (e *Entry) Start(ctx context.Context, peers *peer.Peer) func() {
+	tasks, wait := task.New(ctx)
+	e.peers, e.tasks = peers, tasks
+	tasks.Go(e.control)
+	tasks.Go(e.tick)
+	return func() {
+		wait()
+		for _, p := range e.posts.Load() {
+			p.close()
+		}
+	}
+}
+
+// Snapshot returns what the host routes by.
+func (e *Entry) Snapshot() *snapshot.Snapshot { return e.snapshot.Read() }
+
+// Cell returns the host's part in its cell.
+func (e *Entry) Cell() cell.Cell { return e.cell.Load() }
+
+// Steward returns the steward of a backend server, and whether this host has one.
+func (e *Entry) Steward(server string) (steward.Steward, bool) {
+	p, ok := e.posts.Load()[server]
+	if !ok {
+		return steward.Steward{}, false
+	}
+	return p.steward.Load(), true
+}
+
+// AddressOf returns where another entry host listens for its peers, or "".
+func (e *Entry) AddressOf(name string) string { return e.Cell().Hosts()[name].Address }
+
+// Receive takes a message from another host.
+func (e *Entry) Receive(from string, m message.Message) {
+	e.post(input{event: event.Received{From: from, Message: m}})
+}
+
+// Leave makes the host hand over what it holds, and returns when it holds nothing and no request is in flight, or the
+// context ends.
+func (e *Entry) Leave(ctx context.Context) {
+	e.post(input{event: event.LeaveAsked{}})
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if e.inFlight.Load() == 0 && len(e.Cell().Member().Permits(e.clock.Now())) == 0 {
+				return
+			}
+		}
+	}
+}
+
+// post gives an input to the control goroutine. It never waits: a full inbox is served by a goroutine of its own.
+func (e *Entry) post(in input) {
+	select {
+	case e.inbox <- in:
+	default:
+		e.tasks.Go(func(ctx context.Context) {
+			select {
+			case e.inbox <- in:
+			case <-ctx.Done():
+			}
+		})
+	}
+}
+
+// control is the one goroutine that steps the host's part in its cell.
+func (e *Entry) control(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-e.inbox:
+			e.handle(in)
+		}
+	}
+}
+
+func (e *Entry) handle(in input) {
+	before := e.cell.Load()
+	now := e.clock.Now()
+	if in.handOver != nil {
+		next, effects := before.WithHandover(*in.handOver, now)
+		e.cell.Store(next)
+		e.perform(effects)
+		return
+	}
+	next, effects := before.Step(in.event, now)
+	e.cell.Store(next)
+	e.note(before, next)
+	e.perform(effects)
+}
+
+// tick passes time to the host's part in its cell and to the stewards.
+func (e *Entry) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.post(input{event: event.Ticked{}})
+			for server, p := range e.posts.Load() {
+				e.step(server, event.Ticked{Server: server})
+				if n%5 == 0 {
+					s := p.steward.Load()
+					e.post(input{event: event.Heated{Server: server, Heats: s.Heats(heatRate, e.clock.Now())}})
+					l := s.Load()
+					e.metrics.Server(server, l.Waiting, l.Running)
+				}
+			}
+			e.metrics.PeerBytes(e.peers.Bytes())
+		}
+	}
+}
+
+// note logs and counts what a step changed.
+func (e *Entry) note(before, after cell.Cell) {
+	_, was := before.Arbiter()
+	a, is := after.Arbiter()
+	if was != is {
+		e.log.Info("arbiter changed", "IsArbiter", is, "Term", after.Member().Term())
+	}
+	if b, m := before.Member(), after.Member(); b.Term() != m.Term() {
+		e.log.Info("following", "Term", m.Term(), "Arbiter", m.Arbiter())
+	}
+	if b, m := before.Member().Configuration(), after.Member().Configuration(); b.Revision != m.Revision {
+		e.log.Info("configuration in force", "Revision", m.Revision)
+		e.metrics.Host("configuration_revision", float64(m.Revision))
+	}
+	if b, m := before.Member().Assignment(), after.Member().Assignment(); b.Version != m.Version {
+		moves := b.Moves(m)
+		e.log.Info("assignment in force", "Term", m.Term, "Version", m.Version, "Moves", len(moves))
+		for u := range moves {
+			e.metrics.Moves(u.Service, 1)
+		}
+	}
+	isArbiter := 0.0
+	if is {
+		isArbiter = float64(a.Term())
+	}
+	e.metrics.Host("arbiter_term", isArbiter)
+	e.metrics.Host("term", float64(after.Member().Term()))
+	e.metrics.Host("permits", float64(len(after.Member().Permits(e.clock.Now()))))
+}
+
+// withPost returns the posts with one more.
+func withPost(m map[string]*post, server string, p *post) map[string]*post {
+	next := maps.Clone(m)
+	next[server] = p
+	return next
+}
--- /dev/null
+++ b/io/entry/requests.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"redwingsill/core/effect"
+	"redwingsill/core/event"
+	"redwingsill/core/gateway"
+	"redwingsill/core/message"
+	"redwingsill/core/outcome"
+	"redwingsill/core/request"
+	"redwingsill/core/route"
+)
+
+// Now returns the time by the host's clock.
+func (e *Entry) Now() time.Time { return e.clock.Now() }
+
+// Serve returns the outcome of a caller's request. Attempts that did not run because the owner had moved are tried
+// again until the deadline.
+func (e *Entry) Serve(ctx context.Context, r request.Request) outcome.Outcome {
+	began := e.clock.Now()
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	attributes, end := e.tracer.Hop(ctx, "caller", r.Attributes)
+	r.Attributes = attributes
+	e.gateway.Update(gateway.Gateway.WithRequest)
+	var told message.Told
+	for tries := 1; ; tries++ {
+		told = e.send(ctx, message.Ask{Request: r})
+		wait, again := e.again(told.Outcome, tries, r.Deadline)
+		if !again || !sleep(ctx, wait) {
+			break
+		}
+	}
+	end(outcome.Name(told.Outcome))
+	e.metrics.Request(r.Service, r.Rank, told.Outcome, e.clock.Now().Sub(began))
+	return told.Outcome
+}
+
+// Ask takes a request that another host sends on.
+func (e *Entry) Ask(ctx context.Context, _ string, ask message.Ask) message.Told {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	attributes, end := e.tracer.Hop(ctx, "steward", ask.Request.Attributes)
+	ask.Request.Attributes = attributes
+	ask.Request = ask.Request.WithDeadline(e.clock.Now().Add(ask.Request.Patience))
+	told := e.send(ctx, ask)
+	end(outcome.Name(told.Outcome))
+	return told
+}
+
+// send makes one try at a request.
+func (e *Entry) send(ctx context.Context, ask message.Ask) message.Told {
+	ticket := e.tickets.Add(1)
+	s := e.snapshot.Read()
+	seed := ticket * 0x9e3779b97f4a7c15
+	switch to := route.Choose(s, ask.Request, ask.Server, ask.Hops, e.loadOf, seed).(type) {
+	case route.Local:
+		return e.sendLocal(ctx, to.Server, ticket, ask.Request)
+	case route.Peer:
+		next := message.Ask{Ticket: ticket, Request: ask.Request.WithPatience(e.clock.Now()), Server: to.Server, Hops: ask.Hops + 1}
+		limited, cancel := context.WithTimeout(ctx, next.Request.Patience+cancelWait)
+		defer cancel()
+		told := e.peers.Ask(limited, to.Host, next)
+		e.setLoad(told)
+		return told
+	case route.Nowhere:
+		return message.Told{Outcome: outcome.NotRun{Reason: to.Reason, RetryAfter: e.settings.Timing.Beat, Moved: true}}
+	}
+	return message.Told{Outcome: outcome.NotRun{Reason: "no route"}}
+}
+
+// sendLocal gives a request to a steward of this host and waits for the outcome.
+func (e *Entry) sendLocal(ctx context.Context, server string, ticket uint64, r request.Request) message.Told {
+	waiter := make(chan effect.Tell, 1)
+	e.waiters.Store(ticket, waiter)
+	defer e.waiters.Delete(ticket)
+	ctx, cancel := context.WithTimeout(ctx, e.timeUntil(r.Deadline))
+	defer cancel()
+	e.step(server, event.Submitted{Server: server, Ticket: ticket, Request: r})
+	select {
+	case t := <-waiter:
+		return e.toldOf(t)
+	case <-ctx.Done():
+	}
+	e.step(server, event.Cancelled{Server: server, Ticket: ticket, Late: errors.Is(ctx.Err(), context.DeadlineExceeded)})
+	timer := time.NewTimer(cancelWait)
+	defer timer.Stop()
+	select {
+	case t := <-waiter:
+		return e.toldOf(t)
+	case <-timer.C:
+		return message.Told{Outcome: outcome.Unknown{Reason: "no answer in time"}}
+	}
+}
+
+func (e *Entry) toldOf(t effect.Tell) message.Told {
+	told := message.Told{Ticket: t.Ticket, Outcome: t.Outcome, Load: t.Load, Steward: e.settings.Name}
+	e.setLoad(told)
+	return told
+}
+
+func (e *Entry) again(o outcome.Outcome, tries int, deadline time.Time) (wait time.Duration, again bool) {
+	e.gateway.Update(func(g gateway.Gateway) gateway.Gateway {
+		g, wait, again = g.Again(o, tries, deadline, e.clock.Now())
+		return g
+	})
+	return wait, again
+}
+
+func (e *Entry) loadOf(server string) float64 {
+	if bits, ok := e.loads.Load(server); ok {
+		return math.Float64frombits(bits.(*atomic.Uint64).Load())
+	}
+	return 0
+}
+
+func (e *Entry) setLoad(told message.Told) {
+	if told.Load.Server == "" {
+		return
+	}
+	bits, _ := e.loads.LoadOrStore(told.Load.Server, &atomic.Uint64{})
+	bits.(*atomic.Uint64).Store(math.Float64bits(told.Load.Score()))
+}
+
+// sleep waits, and reports whether the context is still open.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/standin/callers/stream.go
@@ -0,0 +1,45 @@
+package callers
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// stream is one kind of work that callers send.
+type stream struct {
+	service string
+	rank    string
+	// rate is in requests per second.
+	rate     float64
+	once     bool
+	isKeyed  bool
+	deadline string
+}
+
+// parseStream reads "service:rank:rate[:once][:keyed][:deadline=1s]".
+func parseStream(text string) (stream, error) {
+	parts := strings.Split(text, ":")
+	if len(parts) < 3 {
+		return stream{}, fmt.Errorf("stream %q is not service:rank:rate[:once][:keyed][:deadline=1s]", text)
+	}
+	rate, err := strconv.ParseFloat(parts[2], 64)
+	if err != nil || rate <= 0 {
+		return stream{}, fmt.Errorf("stream %q: rate %q is not a number above 0", text, parts[2])
+	}
+	s := stream{service: parts[0], rank: parts[1], rate: rate}
+	for _, option := range parts[3:] {
+		value, isDeadline := strings.CutPrefix(option, "deadline=")
+		switch {
+		case option == "once":
+			s.once = true
+		case option == "keyed":
+			s.isKeyed = true
+		case isDeadline:
+			s.deadline = value
+		default:
+			return stream{}, fmt.Errorf("stream %q: option %q is not once, keyed or deadline=", text, option)
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/io/standin/server/run.go
@@ -0,0 +1,15 @@
+package server
+
+import "time"
+
+// Run is one request that the server began to run.
+type Run struct {
+	Server    string
+	Key       string
+	RequestID string
+	Grant     string
+	Began     time.Time
+	Ended     time.Time
+	// IsWhole says that the run came to its end and was not cancelled.
+	IsWhole bool
+}
