Shorter window in which request ids are answered Unknown

Change: the gateway holds a request until the time in its id has come, and the arbiter tells a new steward how long ago the permits before had ended, so the cutoff is that moment plus the skew of two clocks. Gateways avoid entry hosts of other data centres that refused a connection within the last second. Permit 4 s -> 3 s, lease 2.5 s -> 2 s. Ruled out: trusting ids after the takeover; callers' clocks may be wrong.

--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -284,11 +284,20 @@
 		}
 		h.until = latest(h.until, end.Add(a.timing.Drift))
 		a = a.withHolding(server, h)
-		sent = append(sent, permit.Permit{Server: server, Grant: h.grant, Origin: h.origin, Validity: end.Sub(p.reportedAt)})
+		sent = append(sent, permit.Permit{Server: server, Grant: h.grant, Origin: h.origin, Validity: end.Sub(p.reportedAt),
+			Idle: idle(h, now)})
 	}
 	return a, sent
 }
 
+// idle returns how long ago the permits of the holder before had ended; 0 where that is not known.
+func idle(h holding, now time.Time) time.Duration {
+	if h.idleSince.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(h.idleSince))
+}
+
 // push sends beats to all members when something has changed, and to silent ones now and then.
 func (a Arbiter) push(now time.Time) (Arbiter, []effect.Effect) {
 	var effects []effect.Effect
--- a/core/arbiter/holding.go
+++ b/core/arbiter/holding.go
@@ -14,6 +14,8 @@
 	origin      grant.Grant
 	// until is when every permit sent for it has surely ended.
 	until time.Time
+	// idleSince is when the last permit of the holder before had surely ended.
+	idleSince time.Time
 	// isReleased says that the last holder gave the server up itself.
 	isReleased bool
 	// heir is the host that has the holder's memory, once the holder has released the server.
--- a/core/arbiter/holdings.go
+++ b/core/arbiter/holdings.go
@@ -57,6 +57,10 @@
 		next := holding{host: host, incarnation: a.peers[host].report.Incarnation,
 			grant: grant.Grant{Term: a.term, Generation: a.generation}, until: now}
 		next.origin = next.grant
+		next.idleSince = latest(h.until, a.permitsEnd)
+		if h.isReleased {
+			next.idleSince = h.idleSince
+		}
 		if host == h.heir {
 			next.origin = h.origin
 		}
@@ -200,7 +204,7 @@
 		if h.host != r.Member || h.incarnation != r.Incarnation {
 			continue
 		}
-		h.host, h.heir, h.isReleased = "", "", true
+		h.host, h.heir, h.isReleased, h.idleSince = "", "", true, now
 		if slices.Contains(r.Adopted, id) {
 			h.heir = o.release.Heir
 		}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -132,8 +132,9 @@
 	c.tries++
 	c.againAt = time.Time{}
 	h.calls = maps.Clone(h.calls)
-	loads := func(server string) float64 { return h.loads[server] }
-	switch to := route.Choose(&h.snapshot, c.request, c.server, c.hops, loads, ticket*0x9e3779b97f4a7c15).(type) {
+	load := func(server string) float64 { return h.loads[server] }
+	isLost := func(string) bool { return false }
+	switch to := route.Choose(&h.snapshot, c.request, c.server, c.hops, load, isLost, ticket*0x9e3779b97f4a7c15).(type) {
 	case route.Local:
 		c.asked = to.Server
 		h.calls[ticket] = c
--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -10,9 +10,6 @@
 	"redwingsill/core/unit"
 )
 
-// maxAhead is how far the clock in an id may run ahead of the time at which the id was run.
-const maxAhead = time.Second
-
 // maxKeptBody bounds the body of an answer that is kept for repeats, in bytes.
 const maxKeptBody = 16 << 10
 
@@ -23,18 +20,20 @@
 	order     *immutable.List[string]
 	limit     int
 	retention time.Duration
+	skew      time.Duration
 	cutoff    time.Time
 	cutoffs   *immutable.Map[unit.Unit, time.Time]
 }
 
 // New returns an empty memory of at most limit ids, each kept for a time. Ids issued before the cutoff may have run
-// elsewhere.
-func New(limit int, retention time.Duration, cutoff time.Time) Memory {
+// elsewhere. The clock in an id may run ahead of the time at which it is run by the skew, and no further.
+func New(limit int, retention, skew time.Duration, cutoff time.Time) Memory {
 	return Memory{
 		entries:   immutable.NewMap[string, Entry](nil),
 		order:     immutable.NewList[string](),
 		limit:     limit,
 		retention: retention,
+		skew:      skew,
 		cutoff:    cutoff,
 		cutoffs:   immutable.NewMap[unit.Unit, time.Time](hasher{}),
 	}
@@ -113,10 +112,6 @@
 	return m
 }
 
-// MaxAhead returns how far the clock in an id may run ahead of the hosts' clocks. Ids that run further ahead must be
-// refused before they get here.
-func MaxAhead() time.Duration { return maxAhead }
-
 // WithUnitCutoff returns the memory in which ids of u issued before a time may have run elsewhere.
 func (m Memory) WithUnitCutoff(u unit.Unit, at time.Time) Memory {
 	m.cutoffs = m.cutoffs.Set(u, at)
@@ -130,7 +125,7 @@
 	for m.order.Len() > 0 {
 		id := m.order.Get(0)
 		entry, ok := m.entries.Get(id)
-		if ok && entry.At.After(oldest.Add(-maxAhead)) {
+		if ok && entry.At.After(oldest.Add(-m.skew)) {
 			break
 		}
 		m.order = m.order.Slice(1, m.order.Len())
--- a/core/permit/permit.go
+++ b/core/permit/permit.go
@@ -16,6 +16,9 @@
 	Origin grant.Grant
 	// Validity is the length of the permit when it was sent, from the moment the holder last reported.
 	Validity time.Duration `json:",omitempty"`
+	// Idle is how long ago the last permit of another holder had surely ended when this one was sent. No request can
+	// have run at the server since.
+	Idle time.Duration `json:",omitempty"`
 	// Expiry is the end by the holder's clock. It is not sent.
 	Expiry time.Time `json:"-"`
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -11,23 +11,22 @@
 	route()
 }
 
-// Loads returns the newest known work for each slot of a backend server.
-type Loads func(server string) float64
-
 // Choose returns where a request goes by a snapshot. Server names the backend server that an earlier hop chose, or is
-// empty. Seed is any number that differs from request to request.
-func Choose(s *snapshot.Snapshot, r request.Request, server string, hops int, loads Loads, seed uint64) Route {
+// empty. The function load returns the newest known work for each slot of a backend server, and isLost tells entry hosts
+// that could not be reached lately. Seed is any number that differs from request to request.
+func Choose(s *snapshot.Snapshot, r request.Request, server string, hops int, load func(server string) float64,
+	isLost func(host string) bool, seed uint64) Route {
 	if server == "" {
 		if hash := r.Hash(); hash != 0 {
 			centre, _ := s.Configuration.HomeOf(r.Service, hash)
 			if centre != s.DataCentre {
-				return abroad(s, centre, hops, seed)
+				return abroad(s, centre, hops, isLost, seed)
 			}
 			server, _ = s.Assignment.OwnerOf(r.Service, hash)
 		} else {
-			server = leastLoaded(s, r.Service, loads, seed)
+			server = leastLoaded(s, r.Service, load, seed)
 			if server == "" {
-				return abroad(s, centreWith(s, r.Service, seed), hops, seed)
+				return abroad(s, centreWith(s, r.Service, seed), hops, isLost, seed)
 			}
 		}
 	}
@@ -49,7 +48,7 @@
 	return Peer{Host: host, Server: server}
 }
 
-func abroad(s *snapshot.Snapshot, centre string, hops int, seed uint64) Route {
+func abroad(s *snapshot.Snapshot, centre string, hops int, isLost func(string) bool, seed uint64) Route {
 	hosts := s.Peers[centre]
 	switch {
 	case hops > 0:
@@ -57,18 +56,24 @@
 	case len(hosts) == 0:
 		return Nowhere{Reason: "no entry host of the key's data centre is known"}
 	}
+	for i := range hosts {
+		host := hosts[(seed+uint64(i))%uint64(len(hosts))]
+		if !isLost(host) {
+			return Peer{Host: host}
+		}
+	}
 	return Peer{Host: hosts[seed%uint64(len(hosts))]}
 }
 
 // leastLoaded returns the less loaded of two backend servers drawn by the seed, or "".
-func leastLoaded(s *snapshot.Snapshot, service string, loads Loads, seed uint64) string {
+func leastLoaded(s *snapshot.Snapshot, service string, load func(string) float64, seed uint64) string {
 	servers := s.Unkeyed[service]
 	if len(servers) == 0 {
 		return ""
 	}
 	n := uint64(len(servers))
 	a, b := servers[seed%n], servers[(seed%n+1+(seed>>32)%max(1, n-1))%n]
-	if loads(b) < loads(a) {
+	if load(b) < load(a) {
 		return b
 	}
 	return a
--- a/core/steward/permits.go
+++ b/core/steward/permits.go
@@ -34,10 +34,10 @@
 
 // begin starts a new holding: with the memory that the holder before handed over, or with none.
 func (s Steward) begin(next permit.Permit, now time.Time) Steward {
-	s.memory = memory.New(maxRemembered, s.timing.Retention, now.Add(memory.MaxAhead()+s.timing.Skew))
+	s.memory = memory.New(maxRemembered, s.timing.Retention, s.timing.Skew, now.Add(s.timing.Skew-next.Idle))
 	for _, a := range s.adoptions {
 		if a.Origin == next.Origin {
-			s.memory = memory.New(maxRemembered, s.timing.Retention, a.Cutoff).WithEntries(a.Entries, a.Cutoff)
+			s.memory = memory.New(maxRemembered, s.timing.Retention, s.timing.Skew, a.Cutoff).WithEntries(a.Entries, a.Cutoff)
 		}
 	}
 	s.adoptions = map[int64]message.Adopt{}
@@ -65,7 +65,7 @@
 	}
 	for _, u := range next.UnitsOf(s.server.Name) {
 		if s.assignment.OwnerOfUnit(u) != s.server.Name && !s.hasAdopted(u) {
-			s.memory = s.memory.WithUnitCutoff(u, now.Add(memory.MaxAhead()+s.timing.Skew))
+			s.memory = s.memory.WithUnitCutoff(u, now.Add(s.timing.Skew))
 		}
 	}
 	for _, r := range s.releases {
--- a/core/steward/steward.go
+++ b/core/steward/steward.go
@@ -60,7 +60,7 @@
 		queue:     queue.New(ranks),
 		ranks:     ranks,
 		running:   map[uint64]running{},
-		memory:    memory.New(maxRemembered, t.Retention, time.Time{}),
+		memory:    memory.New(maxRemembered, t.Retention, t.Skew, time.Time{}),
 		adoptions: map[int64]message.Adopt{},
 		releases:  map[int64]releasing{},
 		pending:   map[string]uint64{},
--- a/core/timing/timing.go
+++ b/core/timing/timing.go
@@ -29,11 +29,11 @@
 func Default() Timing {
 	return Timing{
 		Beat:         500 * time.Millisecond,
-		Silence:      1200 * time.Millisecond,
-		Permit:       4 * time.Second,
-		LeaseTTL:     2500 * time.Millisecond,
-		LeaseRenewal: time.Second,
-		Drift:        40 * time.Millisecond,
+		Silence:      time.Second,
+		Permit:       3 * time.Second,
+		LeaseTTL:     2 * time.Second,
+		LeaseRenewal: 800 * time.Millisecond,
+		Drift:        30 * time.Millisecond,
 		Skew:         100 * time.Millisecond,
 		Stagger:      250 * time.Millisecond,
 		Retention:    10 * time.Minute,
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -13,7 +13,6 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
-	"redwingsill/core/memory"
 	"redwingsill/core/outcome"
 	"redwingsill/core/problem"
 	"redwingsill/core/request"
@@ -25,6 +24,7 @@
 const (
 	maxDeadline  = 24 * time.Hour
 	maxKeyLength = 512 // bytes
+	maxAhead     = time.Second
 )
 
 // server is what the front end needs of an entry host.
@@ -102,7 +102,7 @@
 	if !ok {
 		return bad(http.StatusBadRequest, HeaderRequestID, r.Header.Get(HeaderRequestID), "a UUID of version 7")
 	}
-	if issuedAt.After(now.Add(memory.MaxAhead() / 2)) {
+	if !c.awaitIssue(r.Context(), issuedAt) {
 		return bad(http.StatusBadRequest, HeaderRequestID, r.Header.Get(HeaderRequestID),
 			"a UUID whose time is not ahead of "+now.UTC().Format(time.RFC3339Nano))
 	}
@@ -118,6 +118,26 @@
 		Rank: rank.Name, Caller: callerOf(r), Deadline: now.Add(patience), Attributes: attributesOf(r), Body: body}, 0, nil
 }
 
+// awaitIssue waits until the time in a request id has come, which the stewards rely on, and reports whether it has.
+// A caller whose clock is far ahead does not wait.
+func (c *Caller) awaitIssue(ctx context.Context, issuedAt time.Time) bool {
+	ahead := issuedAt.Sub(c.server.Now())
+	if ahead <= 0 {
+		return true
+	}
+	if ahead > maxAhead {
+		return false
+	}
+	timer := time.NewTimer(ahead)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func rankOf(s *snapshot.Snapshot, name string) (resource.Rank, bool) {
 	if name == "" {
 		return s.Configuration.DefaultRank()
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -58,7 +58,7 @@
 	ticket := e.tickets.Add(1)
 	s := e.snapshot.Read()
 	seed := ticket * 0x9e3779b97f4a7c15
-	switch to := route.Choose(s, ask.Request, ask.Server, ask.Hops, e.loadOf, seed).(type) {
+	switch to := route.Choose(s, ask.Request, ask.Server, ask.Hops, e.loadOf, e.peers.IsLost, seed).(type) {
 	case route.Local:
 		return e.sendLocal(ctx, to.Server, ticket, ask.Request)
 	case route.Peer:
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -19,6 +19,7 @@
 const (
 	controlQueue = 64 // messages that may wait for one peer; more are lost
 	redialPause  = 200 * time.Millisecond
+	lostFor      = time.Second
 )
 
 // Peer is this host's end of the connections to all other entry hosts. Its methods may be called at the same time.
@@ -31,6 +32,7 @@
 	mu       sync.Mutex
 	outboxes map[string]chan message.Message
 	askers   map[string]*asker
+	failures sync.Map // host name -> time.Time of the newest failure to connect
 	sent     atomic.Int64
 	received atomic.Int64
 }
@@ -64,6 +66,12 @@
 	})
 }
 
+// IsLost reports whether a host could not be reached lately.
+func (p *Peer) IsLost(name string) bool {
+	at, ok := p.failures.Load(name)
+	return ok && time.Since(at.(time.Time)) < lostFor
+}
+
 // Send sends a message that wants no answer. It may be lost.
 func (p *Peer) Send(to string, m message.Message) {
 	p.mu.Lock()
@@ -99,7 +107,11 @@
 }
 
 func (p *Peer) dial(to string) (*link, error) {
-	return dial(p.tasks.Context(), p.address(to), p.name, to, p.secret, &p.sent, &p.received)
+	l, err := dial(p.tasks.Context(), p.address(to), p.name, to, p.secret, &p.sent, &p.received)
+	if err != nil {
+		p.failures.Store(to, time.Now())
+	}
+	return l, err
 }
 
 func (p *Peer) serve(ctx context.Context, conn net.Conn, r receiver) {
--- a/io/standin/callers/callers.go
+++ b/io/standin/callers/callers.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	connections = 200
 )
 
+var names = regexp.MustCompile(`[a-z]+-\d+|[a-z]+/\d+(#[0-9a-f]+)?|\d+\.\d+\.\d+\.\d+(:\d+)?`)
+
 // Callers sends load. It is used once.
 type Callers struct {
 	entries []string
@@ -38,6 +41,8 @@
 	zipf   *rand.Zipf
 	told   map[string]string // request id -> the strongest outcome told
 	mixed  int
+	// reasons counts the reasons given for outcomes other than Answered.
+	reasons map[string]int
 }
 
 // New returns callers of the entry hosts at base URLs. The streams are texts such as "inventario:stock:200:keyed".
@@ -45,7 +50,8 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	transport := &http.Transport{MaxIdleConnsPerHost: connections, MaxConnsPerHost: 0}
 	c := &Callers{entries: entries, random: random, zipf: rand.NewZipf(random, zipfS, 1, keys-1), told: map[string]string{},
-		http: &http.Client{Transport: transport}}
+		reasons: map[string]int{},
+		http:    &http.Client{Transport: transport}}
 	for _, text := range streams {
 		s, err := parseStream(text)
 		if err != nil {
@@ -150,7 +156,16 @@
 	c.note(id, outcome)
 	if outcome == "Answered" {
 		c.check(body, key, id)
+		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reasons[outcome+": "+general(response.Header.Get(caller.HeaderReason))]++
+}
+
+// general returns a reason without names and numbers, so that reasons can be counted.
+func general(reason string) string {
+	return names.ReplaceAllString(reason, "…")
 }
 
 // check compares an answer with the request.
--- a/io/standin/callers/judge.go
+++ b/io/standin/callers/judge.go
@@ -34,7 +34,7 @@
 		}
 		runs = append(runs, some...)
 	}
-	report := Report{Runs: len(runs), Mixed: c.mixed, Rows: c.rows()}
+	report := Report{Runs: len(runs), Mixed: c.mixed, Reasons: c.reasons, Rows: c.rows()}
 	report.judgeOwners(runs)
 	report.judgeIDs(runs, c.told)
 	return report, nil
--- a/io/standin/callers/report.go
+++ b/io/standin/callers/report.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 )
 
@@ -16,8 +18,10 @@
 	// NotRunButRan counts the ids whose callers were told NotRun though they ran.
 	NotRunButRan int
 	// Mixed counts the answers that were not to the caller's own request.
-	Mixed    int
-	Runs     int
+	Mixed int
+	Runs  int
+	// Reasons counts the reasons given for outcomes other than Answered.
+	Reasons  map[string]int
 	Examples []string
 }
 
@@ -40,6 +44,9 @@
 	_, err := fmt.Fprintf(w, "runs on backend servers = %d\nkeys with two owners = %d\nmust-not-repeat run twice = %d\n"+
 		"told not run but ran = %d\nanswers to another's request = %d\n",
 		r.Runs, r.KeysWithTwoOwners, r.RunTwice, r.NotRunButRan, r.Mixed)
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		_, _ = fmt.Fprintf(w, "%6d  %s\n", r.Reasons[reason], reason)
+	}
 	for _, example := range r.Examples {
 		_, _ = fmt.Fprintln(w, "  "+example)
 	}
