Driver for the decisions of one cell, and faults that a key is served after

Cause: the ownership protocol needs proof under losses, cuts, pauses and outages in virtual time. Change: core/drive feeds one cell's hosts by hand. A member now tells when it last heard the earlier arbiter, which bounds every permit of that arbiter. Ruled out: a longer permit; the gap was in the counting.

--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -160,6 +160,7 @@
 		a, effects = a.tick(now)
 	case event.LeaveAsked:
 		return a.resign(now)
+	default:
 	}
 	a, more := a.push(now)
 	return a, append(effects, more...)
@@ -269,7 +270,7 @@
 func (a Arbiter) permits(to string, now time.Time) (Arbiter, []permit.Permit) {
 	p := a.peers[to]
 	end := a.Since(now).Add(a.timing.Permit)
-	if p.report.SentAt.IsZero() || !end.After(now) || a.stamp().HasOlderAssignment(p.report.Stamp) {
+	if p.report.SentAt.IsZero() || !a.isLive(to, now) || !end.After(now) || a.stamp().HasOlderAssignment(p.report.Stamp) {
 		return a, nil
 	}
 	var sent []permit.Permit
--- a/core/arbiter/holdings.go
+++ b/core/arbiter/holdings.go
@@ -36,14 +36,13 @@
 	return a.isLive(h.host, now) && a.peers[h.host].report.Incarnation == h.incarnation
 }
 
-// appoint gives each backend server that is free a steward.
+// appoint gives each backend server that is free a steward. One that no steward has released to this arbiter waits for
+// the end of the permits of earlier arbiters.
 func (a Arbiter) appoint(now time.Time) Arbiter {
-	if !a.Since(now).After(a.permitsEnd) {
-		return a
-	}
+	isPastOver := a.Since(now).After(a.permitsEnd)
 	for _, server := range a.servers() {
 		h := a.holdings[server.Name]
-		if !h.isFree() || a.down[server.Name] || a.leaving[server.Name] || a.isWritingMovesFrom(server.Name) {
+		if !h.isFree() || !isPastOver && !h.isReleased || a.down[server.Name] || a.leaving[server.Name] || a.isWritingMovesFrom(server.Name) {
 			continue
 		}
 		host := h.heir
--- a/core/arbiter/order.go
+++ b/core/arbiter/order.go
@@ -7,5 +7,4 @@
 	release release.Release
 	host    string
 	isDone  bool
-	adopted bool
 }
--- a/core/arbiter/plans.go
+++ b/core/arbiter/plans.go
@@ -155,7 +155,7 @@
 func (a Arbiter) usable(now time.Time) map[string]bool {
 	usable := map[string]bool{}
 	for _, s := range a.servers() {
-		if !a.down[s.Name] && !(a.leaving[s.Name] && a.isPlatformFresh(now)) {
+		if !a.down[s.Name] && (!a.leaving[s.Name] || !a.isPlatformFresh(now)) {
 			usable[s.Name] = true
 		}
 	}
--- a/core/candidate/candidate.go
+++ b/core/candidate/candidate.go
@@ -112,6 +112,7 @@
 		if f, ok := e.Message.(message.Followed); ok {
 			return c.count(f, now)
 		}
+	default:
 	}
 	return c, nil
 }
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -158,6 +158,7 @@
 		}
 	case event.Ticked:
 		return c.bootstrap(now)
+	default:
 	}
 	return c, nil
 }
--- a/core/configuration/document.go
+++ b/core/configuration/document.go
@@ -95,7 +95,7 @@
 	case "OwnershipPolicy":
 		return decode[resource.OwnershipPolicy](rest)
 	}
-	return nil, fmt.Errorf("Kind %q is not DataCentre, Service, BackendServer, Rank or OwnershipPolicy", name)
+	return nil, fmt.Errorf("kind %q is not DataCentre, Service, BackendServer, Rank or OwnershipPolicy", name)
 }
 
 func decode[R resource.Resource](raw []byte) (resource.Resource, error) {
--- /dev/null
+++ b/core/drive/drive.go
@@ -0,0 +1,300 @@
+// Package drive feeds the decisions of one cell's hosts by hand, with a virtual clock and small fakes at the interfaces:
+// the platform, the backend servers and the wires between hosts. It serves tests and measurements.
+package drive
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"redwingsill/core/configuration"
+	"redwingsill/core/effect"
+	"redwingsill/core/event"
+	"redwingsill/core/host"
+	"redwingsill/core/hostentry"
+	"redwingsill/core/request"
+	"redwingsill/core/timing"
+)
+
+const tickInterval = 100 * time.Millisecond
+
+// Drive is the hosts of one cell and the fakes around them. It is not safe for use by several goroutines.
+type Drive struct {
+	start      time.Time
+	now        time.Time
+	random     *rand.Rand
+	deliveries deliveries
+	sequence   int64
+	timing     timing.Timing
+	dataCentre string
+	nodes      map[string]*node
+	names      []string
+	platform   *platform
+	servers    map[string]*server
+	down       []string
+	leaving    map[string]bool
+	cuts       map[[2]string]bool
+	// Loss and Double are the shares of messages that are lost and that arrive twice.
+	Loss   float64
+	Double float64
+	ticket uint64
+	// Outcomes are what callers were told, by ticket.
+	Outcomes map[uint64]Told
+	// OnStep is called after each step of a host.
+	OnStep     func(name string)
+	violations []string
+	running    map[string]occupancy
+}
+
+// New returns the hosts of a data centre as a configuration declares them, stopped at a start time. The same seed gives
+// the same run.
+func New(c configuration.Configuration, dataCentre string, t timing.Timing, seed uint64) *Drive {
+	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	d := &Drive{start: start, now: start, random: rand.New(rand.NewPCG(seed, 7)), timing: t, dataCentre: dataCentre,
+		nodes: map[string]*node{}, servers: map[string]*server{}, leaving: map[string]bool{}, cuts: map[[2]string]bool{},
+		Outcomes: map[uint64]Told{}, running: map[string]occupancy{}, OnStep: func(string) {}}
+	d.platform = newPlatform(d)
+	d.platform.put(configurationKey, encode(c))
+	for _, name := range c.DataCentres[dataCentre].EntryHosts {
+		d.names = append(d.names, name)
+		d.StartHost(name)
+	}
+	for _, b := range c.ServersOf("", dataCentre) {
+		d.servers[b.Name] = &server{declared: b, ran: map[string]int{}}
+	}
+	return d
+}
+
+// Now returns the virtual time.
+func (d *Drive) Now() time.Time { return d.now }
+
+// Elapsed returns the virtual time since the start.
+func (d *Drive) Elapsed() time.Duration { return d.now.Sub(d.start) }
+
+// Names returns the names of the hosts.
+func (d *Drive) Names() []string { return d.names }
+
+// Random returns the drive's source of random numbers.
+func (d *Drive) Random() *rand.Rand { return d.random }
+
+// Host returns the state of a host.
+func (d *Drive) Host(name string) host.Host { return d.nodes[name].host }
+
+// Violations returns the invariants that broke, as texts.
+func (d *Drive) Violations() []string { return d.violations }
+
+// Run lets time pass.
+func (d *Drive) Run(length time.Duration) {
+	end := d.now.Add(length)
+	for {
+		next, ok := d.deliveries.peek()
+		if !ok || next.at.After(end) {
+			break
+		}
+		d.now = next.at
+		d.deliveries.pop().act()
+	}
+	d.now = end
+}
+
+// RunUntil lets time pass until a condition holds, and reports whether it held within the length.
+func (d *Drive) RunUntil(length time.Duration, holds func() bool) bool {
+	for end := d.now.Add(length); d.now.Before(end); {
+		if holds() {
+			return true
+		}
+		d.Run(10 * time.Millisecond)
+	}
+	return holds()
+}
+
+// StartHost starts a host that is not running, without memory of an earlier start.
+func (d *Drive) StartHost(name string) {
+	drift := 1 + (d.random.Float64()-0.5)*0.006
+	n := &node{name: name, isAlive: true, drift: drift, startedAt: d.now}
+	n.host = host.New(name, d.dataCentre, d.now.UnixNano(), d.timing, n.clock(d.now))
+	d.nodes[name] = n
+	d.tick(n, time.Duration(d.random.Int64N(int64(tickInterval))))
+}
+
+// KillHost stops a host at once.
+func (d *Drive) KillHost(name string) { d.nodes[name].isAlive = false }
+
+// PauseHost stops a host's process without its knowledge; ResumeHost lets it go on.
+func (d *Drive) PauseHost(name string) { d.nodes[name].isPaused = true }
+
+// ResumeHost lets a paused host go on. What arrived meanwhile is waiting for it.
+func (d *Drive) ResumeHost(name string) {
+	n := d.nodes[name]
+	n.isPaused = false
+	for _, e := range n.inbox {
+		d.step(n, e)
+	}
+	n.inbox = nil
+}
+
+// LeaveHost asks a host to stop in order.
+func (d *Drive) LeaveHost(name string) { d.deliver(name, 0, event.LeaveAsked{}) }
+
+// Cut cuts two hosts from each other, or heals the cut. The name "platform" stands for the platform.
+func (d *Drive) Cut(a, b string, isCut bool) {
+	d.cuts[[2]string{a, b}], d.cuts[[2]string{b, a}] = isCut, isCut
+}
+
+// SetPlatform switches the platform's faults: down refuses all calls, and loses drops the answers to writes.
+func (d *Drive) SetPlatform(down, loses bool) {
+	d.platform.isDown, d.platform.losesAnswers = down, loses
+}
+
+// SetDown sets the backend servers that the monitoring group declares down.
+func (d *Drive) SetDown(servers ...string) { d.down = servers }
+
+// SetLeaving lists a host or backend server as leaving.
+func (d *Drive) SetLeaving(name string, isLeaving bool) { d.leaving[name] = isLeaving }
+
+// FreezeServer freezes a backend server, or lets it go on as if nothing had happened.
+func (d *Drive) FreezeServer(name string, isFrozen bool) {
+	s := d.servers[name]
+	s.isFrozen = isFrozen
+	if !isFrozen {
+		for _, held := range s.held {
+			held()
+		}
+		s.held = nil
+	}
+}
+
+// Ask sends a caller's request to a host and returns its ticket.
+func (d *Drive) Ask(name string, r request.Request, patience time.Duration) uint64 {
+	d.ticket++
+	n := d.nodes[name]
+	r = r.WithDeadline(n.clock(d.now).Add(patience))
+	d.deliver(name, 0, event.Asked{Ticket: d.ticket, Request: r})
+	return d.ticket
+}
+
+// Configure puts a configuration in the platform as its next revision.
+func (d *Drive) Configure(c configuration.Configuration) { d.platform.put(configurationKey, encode(c)) }
+
+// Kept returns what the platform keeps under a key.
+func (d *Drive) Kept(key string) ([]byte, int64) {
+	r := d.platform.present(key)
+	return r.value, r.revision
+}
+
+// after schedules an action.
+func (d *Drive) after(delay time.Duration, act func()) {
+	d.sequence++
+	d.deliveries.push(delivery{at: d.now.Add(delay), sequence: d.sequence, act: act})
+}
+
+// deliver gives an event to a host after a delay, unless it is gone by then.
+func (d *Drive) deliver(name string, delay time.Duration, e event.Event) {
+	n := d.nodes[name]
+	d.after(delay, func() {
+		switch {
+		case !n.isAlive:
+		case n.isPaused:
+			n.inbox = append(n.inbox, e)
+		default:
+			d.step(n, e)
+		}
+	})
+}
+
+func (d *Drive) tick(n *node, delay time.Duration) {
+	d.after(delay, func() {
+		if !n.isAlive {
+			return
+		}
+		if !n.isPaused {
+			d.step(n, event.Ticked{})
+		}
+		d.tick(n, tickInterval)
+	})
+}
+
+// step steps a host and carries out what it asks.
+func (d *Drive) step(n *node, e event.Event) {
+	var effects []effect.Effect
+	n.host, effects = n.host.Step(e, n.clock(d.now))
+	d.OnStep(n.name)
+	for _, f := range effects {
+		d.perform(n, f)
+	}
+}
+
+func (d *Drive) perform(n *node, e effect.Effect) {
+	switch f := e.(type) {
+	case effect.Send:
+		d.send(n, f)
+	case effect.ReadKey:
+		d.platform.read(n, f)
+	case effect.WriteKey:
+		d.platform.write(n, f)
+	case effect.ListHosts:
+		if d.platform.reaches(n) {
+			d.deliverTo(n, d.delay(), event.HostsListed{Hosts: d.listed()})
+		}
+	case effect.HearVerdicts:
+		d.deliverTo(n, d.delay(), event.VerdictsHeard{Down: slices.Clone(d.down)})
+	case effect.Run:
+		d.servers[f.Server].run(d, n, f)
+	case effect.Abort:
+	case effect.Tell:
+		d.Outcomes[f.Ticket] = Told{Outcome: f.Outcome, At: d.now}
+	default:
+		d.violate("effect %T left the host", e)
+	}
+}
+
+// send carries a message to another host, unless it is lost.
+func (d *Drive) send(from *node, f effect.Send) {
+	to, ok := d.nodes[f.To]
+	if !ok || d.cuts[[2]string{from.name, f.To}] || d.random.Float64() < d.Loss {
+		return
+	}
+	e := event.Received{From: from.name, Message: f.Message}
+	d.deliverTo(to, d.delay(), e)
+	if d.random.Float64() < d.Double {
+		d.deliverTo(to, d.delay()+time.Duration(d.random.Int64N(int64(200*time.Millisecond))), e)
+	}
+}
+
+// deliverTo gives an event to one start of a host.
+func (d *Drive) deliverTo(n *node, delay time.Duration, e event.Event) {
+	d.after(delay, func() {
+		switch {
+		case !n.isAlive:
+		case n.isPaused:
+			n.inbox = append(n.inbox, e)
+		default:
+			d.step(n, e)
+		}
+	})
+}
+
+func (d *Drive) delay() time.Duration {
+	return time.Millisecond + time.Duration(d.random.Int64N(int64(3*time.Millisecond)))
+}
+
+func (d *Drive) listed() []hostentry.HostEntry {
+	var all []hostentry.HostEntry
+	for _, name := range d.names {
+		all = append(all, hostentry.HostEntry{Name: name, DataCentre: d.dataCentre, Address: "127.0.0.1:1", Leaving: d.leaving[name]})
+	}
+	for name, isLeaving := range d.leaving {
+		if _, isHost := d.nodes[name]; !isHost && isLeaving {
+			all = append(all, hostentry.HostEntry{Name: name, DataCentre: d.dataCentre, Leaving: true})
+		}
+	}
+	slices.SortFunc(all, func(a, b hostentry.HostEntry) int { return compare(a.Name, b.Name) })
+	return all
+}
+
+func (d *Drive) violate(format string, args ...any) {
+	if len(d.violations) < 20 {
+		d.violations = append(d.violations, fmt.Sprintf("%8s ", d.Elapsed().Round(time.Millisecond))+fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/core/drive/drive_test.go
@@ -0,0 +1,105 @@
+package drive_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"redwingsill/core/drive"
+	"redwingsill/core/example"
+	"redwingsill/core/timing"
+)
+
+func TestDrive(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Drive")
+}
+
+func newCell(hosts, servers int, seed uint64) *drive.Drive {
+	size := example.Size{Hosts: hosts, Servers: servers, ServerSlots: 2, Slots: 32}
+	return drive.New(size.Configuration(), example.DataCentre, timing.Default(), seed)
+}
+
+func allServed(d *drive.Drive) func() bool {
+	return func() bool { return len(d.Serving()) == len(d.Units()) }
+}
+
+var _ = Describe("a cell", func() {
+	It("serves every unit soon after a first start", func() {
+		d := newCell(4, 5, 1)
+		Expect(d.RunUntil(5*time.Second, allServed(d))).To(BeTrue())
+		GinkgoWriter.Println("served after", d.Elapsed())
+		Expect(d.Violations()).To(BeEmpty())
+	})
+
+	DescribeTable("serves every unit again within 5 s of a loss", func(fault func(d *drive.Drive)) {
+		for seed := uint64(1); seed <= 10; seed++ {
+			d := newCell(4, 5, seed)
+			Expect(d.RunUntil(6*time.Second, allServed(d))).To(BeTrue())
+			d.Run(2 * time.Second)
+			fault(d)
+			lost := d.Outage(12*time.Second, 20*time.Millisecond, d.Units())
+			var worst time.Duration
+			for _, length := range lost {
+				worst = max(worst, length)
+			}
+			GinkgoWriter.Println("seed", seed, "longest without service", worst)
+			Expect(worst).To(BeNumerically("<", 5*time.Second), "seed %d", seed)
+			Expect(d.Violations()).To(BeEmpty(), "seed %d", seed)
+			Expect(allServed(d)()).To(BeTrue())
+		}
+	},
+		Entry("an entry host is killed", func(d *drive.Drive) { d.KillHost(notArbiter(d)) }),
+		Entry("the arbiter is killed", func(d *drive.Drive) { d.KillHost(arbiterOf(d)) }),
+		Entry("the arbiter is paused", func(d *drive.Drive) { d.PauseHost(arbiterOf(d)) }),
+		Entry("the arbiter is cut from the platform", func(d *drive.Drive) { d.Cut(arbiterOf(d), "platform", true) }),
+		Entry("the arbiter is cut from the other hosts", func(d *drive.Drive) { cutOff(d, arbiterOf(d)) }),
+		Entry("a host is cut from the other hosts", func(d *drive.Drive) { cutOff(d, notArbiter(d)) }),
+		Entry("a host leaves", func(d *drive.Drive) { d.LeaveHost(notArbiter(d)) }),
+		Entry("the arbiter leaves", func(d *drive.Drive) { d.LeaveHost(arbiterOf(d)) }),
+		Entry("the platform is down", func(d *drive.Drive) { d.SetPlatform(true, false) }),
+		Entry("the platform loses answers", func(d *drive.Drive) { d.SetPlatform(false, true) }),
+		Entry("the platform is down and a host is killed", func(d *drive.Drive) {
+			d.SetPlatform(true, false)
+			d.KillHost(notArbiter(d))
+		}),
+		Entry("the platform is down and the arbiter is killed", func(d *drive.Drive) {
+			d.SetPlatform(true, false)
+			d.KillHost(arbiterOf(d))
+		}),
+		Entry("a backend server is declared down", func(d *drive.Drive) { d.SetDown("inventario-1") }),
+		Entry("a backend server is leaving", func(d *drive.Drive) { d.SetLeaving("inventario-1", true) }),
+		Entry("a backend server is declared down and its steward's host is killed", func(d *drive.Drive) {
+			d.SetDown("inventario-1")
+			d.KillHost(d.Host(d.Names()[0]).Snapshot().View.Stewards["inventario-1"])
+		}),
+	)
+})
+
+func arbiterOf(d *drive.Drive) string {
+	for _, name := range d.Names() {
+		if _, ok := d.Host(name).Cell().Arbiter(); ok {
+			return name
+		}
+	}
+	return ""
+}
+
+func notArbiter(d *drive.Drive) string {
+	for _, name := range d.Names() {
+		if name != arbiterOf(d) {
+			return name
+		}
+	}
+	return ""
+}
+
+func cutOff(d *drive.Drive, name string) {
+	for _, other := range d.Names() {
+		if other != name {
+			d.Cut(name, other, true)
+		}
+	}
+}
--- /dev/null
+++ b/core/drive/record.go
@@ -0,0 +1,10 @@
+package drive
+
+import "time"
+
+// record is the value of one key of the platform.
+type record struct {
+	value    []byte
+	revision int64
+	lapsesAt time.Time
+}
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -2,6 +2,8 @@
 package effect
 
 // Effect is something that the decisions ask for.
+//
+//sumtype:decl
 type Effect interface {
 	effect()
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -2,6 +2,8 @@
 package event
 
 // Event is something that happened to an entry host.
+//
+//sumtype:decl
 type Event interface {
 	event()
 }
--- /dev/null
+++ b/core/example/example.go
@@ -0,0 +1,51 @@
+// Package example holds small configurations for tests and measurements.
+package example
+
+import (
+	"fmt"
+	"time"
+
+	"redwingsill/core/configuration"
+	"redwingsill/core/duration"
+	"redwingsill/core/resource"
+)
+
+// Size is the size of an example of one data centre with one service that is divided by key.
+type Size struct {
+	Hosts       int
+	Servers     int
+	ServerSlots int
+	Slots       int
+	HotKeys     int
+	// ChecksGrants says that the backend servers check grants.
+	ChecksGrants bool
+}
+
+// The names in every example.
+const (
+	DataCentre = "ilo"
+	Service    = "inventario"
+	Urgent     = "dispatch"
+	Middle     = "reservation"
+	Patient    = "stock"
+)
+
+// Configuration returns the configuration of an example at revision 1.
+func (s Size) Configuration() configuration.Configuration {
+	c := configuration.Configuration{}
+	centre := resource.DataCentre{Name: DataCentre}
+	for i := range s.Hosts {
+		centre.EntryHosts = append(centre.EntryHosts, fmt.Sprintf("%s-%d", DataCentre, i+1))
+	}
+	c = c.With(centre).With(resource.Service{Name: Service, DividedByKey: true, Slots: s.Slots, MaxBodyBytes: 1 << 16,
+		MaxAttempt: duration.Of(time.Second)})
+	for i := range s.Servers {
+		c = c.With(resource.BackendServer{Name: fmt.Sprintf("%s-%d", Service, i+1), Service: Service, DataCentre: DataCentre,
+			Address: fmt.Sprintf("127.0.0.1:%d", 20000+i), Slots: s.ServerSlots, Connections: 130, ChecksGrants: s.ChecksGrants})
+	}
+	c = c.With(resource.Rank{Name: Urgent, Urgency: 0, Target: duration.Of(250 * time.Millisecond), Worth: 100, QueueLimit: 200}).
+		With(resource.Rank{Name: Middle, Urgency: 1, Target: duration.Of(500 * time.Millisecond), Worth: 30, Floor: 0.1, QueueLimit: 200}).
+		With(resource.Rank{Name: Patient, Urgency: 2, Target: duration.Of(3 * time.Second), Worth: 1, Floor: 0.05, QueueLimit: 400, Default: true}).
+		With(resource.OwnershipPolicy{Name: Service, Service: Service, HotKeys: s.HotKeys, MaxMoves: 8, MoveInterval: duration.Of(2 * time.Second)})
+	return c.WithHomes().Accepted("first", "example", time.Time{}, nil)
+}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -110,11 +110,13 @@
 			h.loads = maps.Clone(h.loads)
 			h.loads[m.Load.Server] = m.Load.Score()
 			return h, []effect.Effect{effect.Tell{Ticket: m.Ticket, Outcome: m.Outcome, Load: m.Load}}
+		default:
 		}
 	case event.Ticked:
 		return h.tick(now)
 	case event.ServerEvent:
 		return h.instruct(e, now)
+	default:
 	}
 	var effects []effect.Effect
 	h.cell, effects = h.cell.Step(e, now)
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -11,6 +11,7 @@
 	"redwingsill/core/configuration"
 	"redwingsill/core/effect"
 	"redwingsill/core/event"
+	"redwingsill/core/grant"
 	"redwingsill/core/heat"
 	"redwingsill/core/message"
 	"redwingsill/core/permit"
@@ -41,13 +42,17 @@
 	successors         []string
 	beatAt             time.Time
 	reportedAt         time.Time
-	// quietSince is when the member last reported to an arbiter before the one it follows.
+	// heardAt is when the newest round of any arbiter came. What the member has reported since names no later round.
+	heardAt time.Time
+	// quietSince is when the newest round of an arbiter before the one it follows came.
 	quietSince  time.Time
 	round       int64
 	contender   int64
 	contenderAt time.Time
 
-	permits  map[string]permit.Permit
+	permits map[string]permit.Permit
+	// gaveUp is the newest grant of each backend server that the host has released.
+	gaveUp   map[string]grant.Grant
 	released map[int64]bool
 	adopted  map[int64]bool
 	// handovers are the memories sent to an heir that has not answered yet.
@@ -65,6 +70,7 @@
 		startedAt:   now,
 		silentUntil: now.Add(t.Permit + t.Drift),
 		permits:     map[string]permit.Permit{},
+		gaveUp:      map[string]grant.Grant{},
 		released:    map[int64]bool{},
 		adopted:     map[int64]bool{},
 		handovers:   map[int64]handover{},
@@ -146,8 +152,7 @@
 			m.adopted = with(m.adopted, e.Release.ID)
 		}
 		if e.Release.All {
-			m.permits = maps.Clone(m.permits)
-			delete(m.permits, e.Release.Server)
+			m = m.withoutPermit(e.Release.Server)
 		}
 		return m.report(now)
 	case event.Heated:
@@ -158,6 +163,7 @@
 		return m.report(now)
 	case event.Ticked:
 		return m.tick(now)
+	default:
 	}
 	return m, nil
 }
@@ -186,6 +192,7 @@
 		if h, ok := m.handovers[msg.ReleaseID]; ok {
 			return m.endHandover(h, true)
 		}
+	default:
 	}
 	return m, nil
 }
@@ -206,7 +213,7 @@
 	}
 	reply.Accepted, reply.Quorums = true, m.quorums
 	if !isSame {
-		m.quietSince = later(m.reportedAt, m.startedAt)
+		m.quietSince = later(m.heardAt, m.startedAt)
 	}
 	if f.First {
 		m.silentUntil = m.startedAt
@@ -241,7 +248,7 @@
 	}
 	isNew := b.Term > m.term
 	m.term, m.arbiter, m.arbiterIncarnation = b.Term, b.Arbiter, b.Incarnation
-	m.beatAt, m.quorums, m.successors = now, b.Quorums, b.Successors
+	m.beatAt, m.heardAt, m.quorums, m.successors = now, now, b.Quorums, b.Successors
 	m.round = max(b.Round, m.round)
 	if isNew {
 		m.round = b.Round
@@ -281,7 +288,7 @@
 	var effects []effect.Effect
 	for _, p := range b.Permits {
 		p = p.WithExpiry(b.Echo.Add(p.Validity))
-		if old := m.permits[p.Server]; old.Grant.Compare(p.Grant) > 0 || !p.IsValid(now) ||
+		if old := m.permits[p.Server]; m.gaveUp[p.Server].Compare(p.Grant) >= 0 || old.Grant.Compare(p.Grant) > 0 || !p.IsValid(now) ||
 			old.Grant == p.Grant && !p.Expiry.After(old.Expiry) {
 			continue
 		}
@@ -342,6 +349,19 @@
 	return m, []effect.Effect{effect.Inform{Event: event.Released{Release: h.order, Adopted: adopted}}}
 }
 
+// withoutPermit returns the member that has given a backend server up and takes no older permit for it again.
+func (m Member) withoutPermit(server string) Member {
+	held, ok := m.permits[server]
+	if !ok {
+		return m
+	}
+	m.gaveUp = maps.Clone(m.gaveUp)
+	m.gaveUp[server] = held.Grant
+	m.permits = maps.Clone(m.permits)
+	delete(m.permits, server)
+	return m
+}
+
 func with(m map[int64]bool, id int64) map[int64]bool {
 	next := maps.Clone(m)
 	next[id] = true
--- a/core/message/followed.go
+++ b/core/message/followed.go
@@ -19,7 +19,7 @@
 	Accepted    bool
 	// Highest is the highest term that the member follows.
 	Highest int64
-	// Quiet is the time since the member last reported to an arbiter of an earlier term.
+	// Quiet is the time since the member last heard an arbiter of an earlier term.
 	Quiet time.Duration
 	// Holdings are the member's valid permits.
 	Holdings []permit.Permit `json:",omitempty"`
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -3,6 +3,8 @@
 
 // Message is one message between two entry hosts. The variants are [Follow], [Followed], [Report], [Beat], [Adopt],
 // [Adopted], [Ask] and [Told].
+//
+//sumtype:decl
 type Message interface {
 	message()
 }
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -2,6 +2,8 @@
 package outcome
 
 // Outcome is what became of a request. The variants are [Answered], [NotRun] and [Unknown].
+//
+//sumtype:decl
 type Outcome interface {
 	outcome()
 }
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -4,6 +4,8 @@
 
 // Resource is a declared resource. The variants are [DataCentre], [Service], [BackendServer], [Rank] and
 // [OwnershipPolicy].
+//
+//sumtype:decl
 type Resource interface {
 	// ResourceName returns the name, unique among the resources of one kind.
 	ResourceName() string
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -7,6 +7,8 @@
 )
 
 // Route is where a request goes. The variants are [Local], [Peer] and [Nowhere].
+//
+//sumtype:decl
 type Route interface {
 	route()
 }
--- a/core/steward/steward.go
+++ b/core/steward/steward.go
@@ -88,6 +88,15 @@
 	return s.hot.Top(s.service.Name, s.server.Name, rate, now)
 }
 
+// Serves reports whether the steward would take a request for a unit at now.
+func (s Steward) Serves(u unit.Unit, now time.Time) bool {
+	hash := u.Hash
+	if hash == 0 {
+		hash = uint64(u.Slot)
+	}
+	return s.permit.IsValid(now) && !s.isReleased(max(1, hash), u) && s.assignment.OwnerOfUnit(u) == s.server.Name
+}
+
 // Step returns the steward after an event, and what is to be done.
 func (s Steward) Step(e event.Event, now time.Time) (Steward, []effect.Effect) {
 	var effects []effect.Effect
@@ -108,6 +117,7 @@
 		s = s.adopt(e.Adopt, now)
 	case event.Ticked:
 		s, effects = s.tick(now)
+	default:
 	}
 	s, more := s.dispatch(now)
 	effects = append(effects, more...)
