--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -31,6 +31,7 @@
 	probeInterval    = time.Second
 	maxRounds        = 64
 	leavingPatience  = 1500 * time.Millisecond
+	refusalRounds    = 8 // rounds after which a member must know of a permit
 )
 
 // Arbiter is the state of the arbiter. It is immutable.
@@ -219,7 +220,7 @@
 	for _, held := range r.Holdings {
 		a = a.withClaim(r.Member, r.Incarnation, held)
 	}
-	a = a.released(r, now).withView()
+	a = a.released(r, now).withRefusals(r).withView()
 	return a.beat(r.Member, now)
 }
 
@@ -276,9 +277,12 @@
 	var sent []permit.Permit
 	for _, server := range slices.Sorted(maps.Keys(a.holdings)) {
 		h := a.holdings[server]
-		if h.host != to || h.incarnation != p.report.Incarnation {
+		if h.host != to || h.incarnation != p.report.Incarnation || h.isRefused {
 			continue
 		}
+		if h.sentRound == 0 {
+			h.sentRound = a.round
+		}
 		if h.grant.Term < a.term {
 			a.generation++
 			h.grant.Term, h.grant.Generation = a.term, a.generation
--- a/core/arbiter/holding.go
+++ b/core/arbiter/holding.go
@@ -14,6 +14,10 @@
 	origin      grant.Grant
 	// until is when every permit sent for it has surely ended.
 	until time.Time
+	// sentRound is the round in which the permit was first sent, and isRefused says that the holder reports since without
+	// it.
+	sentRound int64
+	isRefused bool
 	// idleSince is when the last permit of the holder before had surely ended.
 	idleSince time.Time
 	// isReleased says that the last holder gave the server up itself.
--- a/core/arbiter/holdings.go
+++ b/core/arbiter/holdings.go
@@ -7,6 +7,7 @@
 
 	"redwingsill/core/grant"
 	"redwingsill/core/message"
+	"redwingsill/core/permit"
 	"redwingsill/core/release"
 )
 
@@ -25,7 +26,7 @@
 			}
 			continue
 		}
-		h.host, h.heir, h.isReleased = "", "", false
+		h.host, h.heir, h.isReleased, h.isRefused = "", "", false, false
 		a = a.withHolding(server, h)
 	}
 	return a
@@ -33,7 +34,23 @@
 
 // holds reports whether the holder is alive, in the start that got the permit.
 func (a Arbiter) holds(h holding, now time.Time) bool {
-	return a.isLive(h.host, now) && a.peers[h.host].report.Incarnation == h.incarnation
+	return a.isLive(h.host, now) && a.peers[h.host].report.Incarnation == h.incarnation && !h.isRefused
+}
+
+// withRefusals marks the holdings that a member should have and reports without. It may have given them up to an
+// earlier arbiter.
+func (a Arbiter) withRefusals(r message.Report) Arbiter {
+	for server, h := range a.holdings {
+		isDue := h.sentRound > 0 && r.Round >= h.sentRound+refusalRounds
+		if h.host != r.Member || h.incarnation != r.Incarnation || h.isRefused || !isDue || a.isOrdered(server) {
+			continue
+		}
+		if !slices.ContainsFunc(r.Holdings, func(p permit.Permit) bool { return p.Server == server }) {
+			h.isRefused = true
+			a = a.withHolding(server, h)
+		}
+	}
+	return a
 }
 
 // appoint gives each backend server that is free a steward. One that no steward has released to this arbiter waits for
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -172,6 +172,9 @@
 func (m Member) WithHandover(e effect.HandOver, now time.Time) (Member, []effect.Effect) {
 	m.handovers = maps.Clone(m.handovers)
 	m.handovers[e.Release.ID] = handover{order: e.Release, sentAt: now}
+	if e.Release.All {
+		m = m.withoutPermit(e.Release.Server)
+	}
 	adopt := e.Adopt
 	adopt.From = m.name
 	return m, []effect.Effect{effect.Send{To: e.Release.Heir, Message: adopt}}
--- a/core/steward/permits.go
+++ b/core/steward/permits.go
@@ -20,7 +20,7 @@
 		s.permit = s.permit.WithExpiry(time.Time{})
 		return s.refuseQueued(func(queue.Item) bool { return true }, now)
 	}
-	if next.Grant.Compare(s.permit.Grant) < 0 {
+	if next.Grant.Compare(s.permit.Grant) < 0 || next.Grant == s.permit.Grant && s.hasGivenUp() {
 		return s, nil
 	}
 	if next.Origin != s.permit.Origin {
--- a/core/steward/releases.go
+++ b/core/steward/releases.go
@@ -68,6 +68,16 @@
 	return false
 }
 
+// hasGivenUp reports whether the whole server has been released.
+func (s Steward) hasGivenUp() bool {
+	for _, r := range s.releases {
+		if r.order.All && r.isDone {
+			return true
+		}
+	}
+	return false
+}
+
 // isReleased reports whether an order of release covers a request.
 func (s Steward) isReleased(hash uint64, u unit.Unit) bool {
 	for _, r := range s.releases {
