A steward's memory covers the units that its server has gained

A host took over a server with the memory of the steward before it, which did not cover a unit that had moved to the server after the handover; and the time since which a server had been idle left out the units that moved to it meanwhile. Change: a handover names the units that it covers, and ids of the others are Unknown if issued before; the idle time counts from the newest unit gained. Ruled out: the order of assignment and permit at the new steward; both orders end in the same cutoffs.

--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -62,8 +62,10 @@
 	orders     map[int64]order
 	orderID    int64
 	plan       *plan
-	plannedAt  time.Time
-	movedAt    time.Time
+	// gainedAt is when units last moved to a backend server. Before that they were run elsewhere.
+	gainedAt  map[string]time.Time
+	plannedAt time.Time
+	movedAt   time.Time
 
 	sequence      int64
 	pending       map[int64]purpose
@@ -108,7 +110,7 @@
 		}
 	}
 	a.down, a.leaving, a.hosts = a.view.Down, a.view.Leaving, a.view.Hosts
-	a.leavingSince = map[string]time.Time{}
+	a.leavingSince, a.gainedAt = map[string]time.Time{}, map[string]time.Time{}
 	return a
 }
 
@@ -290,17 +292,18 @@
 		h.until = latest(h.until, end.Add(a.timing.Drift))
 		a = a.withHolding(server, h)
 		sent = append(sent, permit.Permit{Server: server, Grant: h.grant, Origin: h.origin, Validity: end.Sub(p.reportedAt),
-			Idle: idle(h, now)})
+			Idle: a.idle(server, h, now)})
 	}
 	return a, sent
 }
 
-// idle returns how long ago the permits of the holder before had ended; 0 where that is not known.
-func idle(h holding, now time.Time) time.Duration {
+// idle returns how long ago a request for any unit of the server may last have run under another steward or at another
+// server; 0 where that is not known.
+func (a Arbiter) idle(server string, h holding, now time.Time) time.Duration {
 	if h.idleSince.IsZero() {
 		return 0
 	}
-	return max(0, now.Sub(h.idleSince))
+	return max(0, now.Sub(latest(h.idleSince, a.gainedAt[server])))
 }
 
 // push sends beats to all members when something has changed, and to silent ones now and then.
--- a/core/arbiter/plans.go
+++ b/core/arbiter/plans.go
@@ -127,6 +127,14 @@
 
 // published puts a plan that the platform has kept in force.
 func (a Arbiter) published(now time.Time) Arbiter {
+	a.gainedAt = maps.Clone(a.gainedAt)
+	for u := range a.plan.moves {
+		to, _ := a.plan.next.OwnerOf(u.Service, u.Hash)
+		if !u.IsHotKey() {
+			to = a.plan.next.OwnerOfUnit(u)
+		}
+		a.gainedAt[to] = now
+	}
 	a.assignment = a.plan.next
 	a.plan = nil
 	a.isFenced = true
--- a/core/drive/drive.go
+++ b/core/drive/drive.go
@@ -61,7 +61,7 @@
 		d.StartHost(name)
 	}
 	for _, b := range c.ServersOf("", dataCentre) {
-		d.servers[b.Name] = &server{declared: b, ran: map[string]int{}}
+		d.servers[b.Name] = &server{declared: b, ran: map[string][]string{}}
 	}
 	return d
 }
--- a/core/drive/judge.go
+++ b/core/drive/judge.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"strings"
 	"time"
 
 	"redwingsill/core/configuration"
@@ -57,18 +58,18 @@
 	return all
 }
 
-// RanTwice returns the request ids that ran more than once.
+// RanTwice returns the runs of the request ids that ran more than once.
 func (d *Drive) RanTwice() []string {
-	counts := map[string]int{}
+	runs := map[string][]string{}
 	for _, s := range d.servers {
-		for id, n := range s.ran {
-			counts[id] += n
+		for id, some := range s.ran {
+			runs[id] = append(runs[id], some...)
 		}
 	}
 	var twice []string
-	for id, n := range counts {
-		if n > 1 {
-			twice = append(twice, id)
+	for id, some := range runs {
+		if len(some) > 1 {
+			twice = append(twice, id+": "+strings.Join(some, ", "))
 		}
 	}
 	return twice
@@ -77,7 +78,7 @@
 // Ran reports whether a request id ran.
 func (d *Drive) Ran(id string) bool {
 	for _, s := range d.servers {
-		if s.ran[id] > 0 {
+		if len(s.ran[id]) > 0 {
 			return true
 		}
 	}
--- a/core/drive/server.go
+++ b/core/drive/server.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"fmt"
 	"time"
 
 	"redwingsill/core/effect"
@@ -18,8 +19,8 @@
 	isFrozen bool
 	held     []func()
 	highest  grant.Grant
-	// ran counts the runs of each request id.
-	ran     map[string]int
+	// ran lists the runs of each request id.
+	ran     map[string][]string
 	running int
 }
 
@@ -42,7 +43,8 @@
 	}
 	s.highest = f.Grant
 	if f.Request.ID != "" {
-		s.ran[f.Request.ID]++
+		s.ran[f.Request.ID] = append(s.ran[f.Request.ID], fmt.Sprintf("%s at %s by %s under %d.%d", f.Server,
+			d.Elapsed().Round(time.Millisecond), n.name, f.Grant.Term, f.Grant.Generation))
 	}
 	s.running++
 	if s.running > s.declared.Slots {
--- a/core/message/adopt.go
+++ b/core/message/adopt.go
@@ -14,9 +14,11 @@
 	From      string
 	// Server is the backend server that takes over, and Origin the grant under which the memory began where the whole
 	// server changes its steward.
-	Server  string
-	Origin  grant.Grant    `json:",omitzero"`
-	Units   []unit.Unit    `json:",omitempty"`
+	Server string
+	Origin grant.Grant `json:",omitzero"`
+	Units  []unit.Unit `json:",omitempty"`
+	// Owned are the units whose request ids the entries cover where the whole server changes its steward.
+	Owned   []unit.Unit    `json:",omitempty"`
 	Entries []memory.Entry `json:",omitempty"`
 	// Cutoff is the time before which ids may be missing from the entries.
 	Cutoff time.Time
--- a/core/steward/permits.go
+++ b/core/steward/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"redwingsill/core/effect"
@@ -38,6 +39,7 @@
 	for _, a := range s.adoptions {
 		if a.Origin == next.Origin {
 			s.memory = memory.New(maxRemembered, s.timing.Retention, s.timing.Skew, a.Cutoff).WithEntries(a.Entries, a.Cutoff)
+			s = s.withGained(a.Owned, now)
 		}
 	}
 	s.adoptions = map[int64]message.Adopt{}
@@ -46,6 +48,17 @@
 	return s
 }
 
+// withGained returns the steward whose memory does not cover the past of the units that the server owns beside those
+// given.
+func (s Steward) withGained(covered []unit.Unit, now time.Time) Steward {
+	for _, u := range s.assignment.UnitsOf(s.server.Name) {
+		if !slices.Contains(covered, u) {
+			s.memory = s.memory.WithUnitCutoff(u, now.Add(s.timing.Skew))
+		}
+	}
+	return s
+}
+
 // adopt keeps the memory that another steward hands over, until the permit or the assignment it belongs to comes.
 func (s Steward) adopt(a message.Adopt, now time.Time) Steward {
 	if len(a.Units) > 0 {
--- a/core/steward/releases.go
+++ b/core/steward/releases.go
@@ -48,9 +48,14 @@
 	if order.Heir == "" {
 		return effect.Inform{Event: event.Released{Release: order}}
 	}
+	owned := []unit.Unit(nil)
+	if order.All {
+		owned = s.assignment.UnitsOf(s.server.Name)
+	}
 	return effect.HandOver{Release: order, Adopt: message.Adopt{
 		ReleaseID: order.ID,
 		Server:    order.Successor,
+		Owned:     owned,
 		Origin:    s.permit.Origin,
 		Units:     order.Units,
 		Entries:   s.memory.Entries(order.Units),
