--- a/core/drive/property_test.go
+++ b/core/drive/property_test.go
@@ -1,6 +1,7 @@
 package drive_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -21,6 +22,16 @@
 	propertySteps   = 25
 )
 
+// The seed and number of checks are fixed, so that every run has the same verdict. The flags -rapid.seed and
+// -rapid.checks on the command line go before them.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "150", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
 // asked is a request that a caller has sent.
 type asked struct {
 	ticket uint64
