--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -8,6 +8,9 @@
 	"redwingsill/core/resource"
 )
 
+// fullCredit is the credit that buys one request, less what adding up shares rounds off.
+const fullCredit = 1 - 1e-9
+
 // maxCredit bounds the work that a floor may save up while its rank has nothing to do.
 const maxCredit = 2
 
@@ -113,7 +116,7 @@
 	}
 	chosen := first
 	for n := first + 1; n < len(q.lanes); n++ {
-		if heads[n] != nil && q.lanes[n].credit >= 1 {
+		if heads[n] != nil && q.lanes[n].credit >= fullCredit {
 			chosen = n
 			break
 		}
--- a/core/steward/permits.go
+++ b/core/steward/permits.go
@@ -24,7 +24,7 @@
 	if next.Grant.Compare(s.permit.Grant) < 0 || next.Grant == s.permit.Grant && s.hasGivenUp() {
 		return s, nil
 	}
-	if next.Origin != s.permit.Origin {
+	if next.Origin != s.permit.Origin || s.hasGivenUp() {
 		s = s.begin(next, now)
 	} else if next.Grant != s.permit.Grant {
 		s.releases = withoutWhole(s.releases)
@@ -36,8 +36,8 @@
 // begin starts a new holding: with the memory that the holder before handed over, or with none.
 func (s Steward) begin(next permit.Permit, now time.Time) Steward {
 	s.memory = memory.New(maxRemembered, s.timing.Retention, s.timing.Skew, now.Add(s.timing.Skew-next.Idle))
-	for _, a := range s.adoptions {
-		if a.Origin == next.Origin {
+	for _, id := range slices.Sorted(maps.Keys(s.adoptions)) {
+		if a := s.adoptions[id]; a.Origin == next.Origin {
 			s.memory = memory.New(maxRemembered, s.timing.Retention, s.timing.Skew, a.Cutoff).WithEntries(a.Entries, a.Cutoff)
 			s = s.withGained(a.Owned, now)
 		}
