--- /dev/null
+++ b/core/quorum/quorum_test.go
@@ -0,0 +1,47 @@
+package quorum_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"redwingsill/core/quorum"
+)
+
+func TestQuorum(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Quorum")
+}
+
+var _ = DescribeTable("a majority of each set must agree", func(q quorum.Quorums, agreeing []string, has bool) {
+	agrees := func(name string) bool {
+		for _, a := range agreeing {
+			if a == name {
+				return true
+			}
+		}
+		return false
+	}
+	Expect(q.Has(agrees)).To(Equal(has))
+},
+	Entry("no set", quorum.Quorums{}, []string{"a"}, false),
+	Entry("an empty set", quorum.Quorums{{}}, []string{"a"}, false),
+	Entry("one of one", quorum.Quorums{{"a"}}, []string{"a"}, true),
+	Entry("one of two", quorum.Quorums{{"a", "b"}}, []string{"a"}, false),
+	Entry("two of three", quorum.Quorums{{"a", "b", "c"}}, []string{"a", "c"}, true),
+	Entry("two of four", quorum.Quorums{{"a", "b", "c", "d"}}, []string{"a", "c"}, false),
+	Entry("the new set alone", quorum.Quorums{{"a", "b", "c"}, {"c", "d", "e"}}, []string{"c", "d", "e"}, false),
+	Entry("both sets", quorum.Quorums{{"a", "b", "c"}, {"c", "d", "e"}}, []string{"b", "c", "d"}, true),
+)
+
+var _ = It("a majority is known to agree since the middle one of their times", func() {
+	times := map[string]time.Time{}
+	for i, name := range []string{"a", "b", "c", "d", "e"} {
+		times[name] = time.Unix(int64(i), 0)
+	}
+	at := func(name string) time.Time { return times[name] }
+	Expect(quorum.Quorums{{"a", "b", "c", "d", "e"}}.Since(at)).To(Equal(time.Unix(2, 0)))
+	Expect(quorum.Quorums{{"c", "d", "e"}, {"a", "b", "c"}}.Since(at)).To(Equal(time.Unix(1, 0)))
+})
--- a/io/backendserver/backendserver.go
+++ b/io/backendserver/backendserver.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"slices"
 	"strconv"
 	"time"
@@ -105,7 +106,7 @@
 	deadline := time.Now().Add(order.Deadline.Sub(b.now()))
 	request.Header.Set(HeaderGrant, strconv.FormatInt(order.Grant.Term, 10)+"."+strconv.FormatInt(order.Grant.Generation, 10))
 	request.Header.Set(HeaderDeadline, deadline.UTC().Format(time.RFC3339Nano))
-	request.Header.Set(HeaderKey, r.Key)
+	request.Header.Set(HeaderKey, url.PathEscape(r.Key))
 	if r.ID != "" {
 		request.Header.Set(HeaderRequestID, r.ID)
 	}
--- /dev/null
+++ b/io/backendserver/backendserver_test.go
@@ -0,0 +1,266 @@
+package backendserver_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"redwingsill/core/effect"
+	"redwingsill/core/outcome"
+	"redwingsill/core/request"
+	"redwingsill/io/attribute"
+	"redwingsill/io/backendserver"
+	"redwingsill/io/task"
+)
+
+func TestBackendServer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "BackendServer")
+}
+
+// rawServer answers each connection by a script, so that tests can break the protocol at any point.
+type rawServer struct {
+	listener net.Listener
+	received atomic.Int64
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+func newRawServer(script func(n int64, conn net.Conn, r *http.Request)) *rawServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &rawServer{listener: listener}
+	tasks, wait := task.New(context.Background())
+	tasks.Go(func(context.Context) {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, conn)
+			s.mu.Unlock()
+			tasks.Go(func(context.Context) { s.serve(conn, script) })
+		}
+	})
+	DeferCleanup(func() {
+		_ = listener.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		wait()
+	})
+	return s
+}
+
+func (s *rawServer) serve(conn net.Conn, script func(n int64, conn net.Conn, r *http.Request)) {
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		script(s.received.Add(1), conn, r)
+	}
+}
+
+func reply(conn net.Conn, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func order(method, body string, patience time.Duration) effect.Run {
+	return effect.Run{Ticket: 1, Deadline: time.Now().Add(patience), Request: request.Request{ID: "id-1", Key: "k", Body: []byte(body),
+		Attributes: map[string]string{attribute.Method: method, attribute.Path: "/"}}}
+}
+
+func clientOf(s *rawServer) *backendserver.BackendServer {
+	client, closeClient := backendserver.New(s.listener.Addr().String(), 2, time.Now)
+	DeferCleanup(closeClient)
+	return client
+}
+
+var _ = Describe("a connection that dies", func() {
+	DescribeTable("after the request was read has it run once, whatever the method", func(method, body string) {
+		s := newRawServer(func(n int64, conn net.Conn, _ *http.Request) {
+			if n == 1 {
+				reply(conn, "warm")
+				return
+			}
+			_ = conn.Close()
+		})
+		client := clientOf(s)
+		o, _ := client.Run(context.Background(), order(method, body, time.Second))
+		Expect(o).To(BeAssignableToTypeOf(outcome.Answered{}))
+		o, _ = client.Run(context.Background(), order(method, body, time.Second))
+		Expect(o).To(BeAssignableToTypeOf(outcome.Unknown{}))
+		Consistently(s.received.Load, 50*time.Millisecond).Should(Equal(int64(2)))
+	},
+		Entry("GET", http.MethodGet, ""),
+		Entry("HEAD-like OPTIONS", http.MethodOptions, ""),
+		Entry("POST without a body", http.MethodPost, ""),
+		Entry("POST with a body", http.MethodPost, "{}"),
+		Entry("PUT with a body", http.MethodPut, "{}"),
+		Entry("DELETE", http.MethodDelete, ""),
+	)
+
+	It("has net/http itself send a GET twice, which is what the client shuts out", func() {
+		s := newRawServer(func(n int64, conn net.Conn, _ *http.Request) {
+			if n == 1 {
+				reply(conn, "warm")
+				return
+			}
+			_ = conn.Close()
+		})
+		for range 2 {
+			response, err := http.Get("http://" + s.listener.Addr().String())
+			if err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		}
+		Expect(s.received.Load()).To(BeNumerically(">", 2))
+	})
+
+	It("before anything was sent is NotRun", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		client, closeClient := backendserver.New(address, 2, time.Now)
+		defer closeClient()
+		o, _ := client.Run(context.Background(), order(http.MethodPost, "{}", time.Second))
+		Expect(o).To(BeAssignableToTypeOf(outcome.NotRun{}))
+	})
+
+	DescribeTable("in the middle of the answer is Unknown", func(head string) {
+		s := newRawServer(func(_ int64, conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, head)
+			_ = conn.Close()
+		})
+		o, _ := clientOf(s).Run(context.Background(), order(http.MethodPost, "{}", time.Second))
+		Expect(o).To(BeAssignableToTypeOf(outcome.Unknown{}))
+	},
+		Entry("within the status", "HTTP/1."),
+		Entry("within the header", "HTTP/1.1 200 OK\r\nContent-Le"),
+		Entry("before the body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"),
+		Entry("within the body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"),
+		Entry("within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal"),
+		Entry("between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+	)
+})
+
+var _ = Describe("an order", func() {
+	It("that waits for a connection beyond its deadline is never sent", func() {
+		release := make(chan struct{})
+		s := newRawServer(func(_ int64, conn net.Conn, _ *http.Request) {
+			<-release
+			reply(conn, "done")
+		})
+		client, closeClient := backendserver.New(s.listener.Addr().String(), 1, time.Now)
+		DeferCleanup(closeClient)
+		tasks, wait := task.New(context.Background())
+		DeferCleanup(wait)
+		tasks.Go(func(ctx context.Context) { client.Run(ctx, order(http.MethodPost, "{}", 5*time.Second)) })
+		Eventually(s.received.Load).Should(Equal(int64(1)))
+		o, _ := client.Run(context.Background(), order(http.MethodPost, "{}", 50*time.Millisecond))
+		Expect(o).To(BeAssignableToTypeOf(outcome.NotRun{}))
+		close(release)
+		Consistently(s.received.Load, 50*time.Millisecond).Should(Equal(int64(1)))
+	})
+
+	It("whose process was paused between decision and sending is not sent", func() {
+		s := newRawServer(func(_ int64, conn net.Conn, _ *http.Request) { reply(conn, "done") })
+		var now atomic.Int64
+		base := time.Now()
+		client, closeClient := backendserver.New(s.listener.Addr().String(), 1, func() time.Time { return base.Add(time.Duration(now.Load())) })
+		DeferCleanup(closeClient)
+		late := order(http.MethodPost, "{}", time.Second)
+		late.Deadline = base.Add(time.Second)
+		ctx := pausing{Context: context.Background(), pause: func() { now.Store(int64(2 * time.Second)) }}
+		o, _ := client.Run(ctx, late)
+		Expect(o).To(BeAssignableToTypeOf(outcome.NotRun{}))
+		Expect(s.received.Load()).To(BeZero())
+	})
+
+	It("carries its key, id, grant and absolute deadline", func() {
+		headers := make(chan http.Header, 1)
+		s := newRawServer(func(_ int64, conn net.Conn, r *http.Request) {
+			headers <- r.Header
+			reply(conn, "done")
+		})
+		_, _ = clientOf(s).Run(context.Background(), order(http.MethodPost, "{}", time.Second))
+		h := <-headers
+		Expect(h.Get(backendserver.HeaderKey)).To(Equal("k"))
+		Expect(h.Get(backendserver.HeaderRequestID)).To(Equal("id-1"))
+		Expect(h.Get(backendserver.HeaderGrant)).To(Equal("0.0"))
+		at, err := time.Parse(time.RFC3339Nano, h.Get(backendserver.HeaderDeadline))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Until(at)).To(BeNumerically("~", time.Second, 500*time.Millisecond))
+	})
+
+	DescribeTable("that the server refused before running is NotRun", func(reason string, shed, moved bool) {
+		s := newRawServer(func(_ int64, conn net.Conn, _ *http.Request) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", backendserver.HeaderRefused, reason)
+		})
+		o, isShed := clientOf(s).Run(context.Background(), order(http.MethodPost, "{}", time.Second))
+		Expect(o).To(HaveField("Moved", moved))
+		Expect(isShed).To(Equal(shed))
+	},
+		Entry("for overload", "Shed", true, false),
+		Entry("for its connections", "Connections", true, false),
+		Entry("for an old grant", "Grant", false, true),
+		Entry("for its deadline", "Deadline", false, false),
+		Entry("as it drains", "Draining", false, false),
+	)
+
+	It("whose answer is a server's error is answered, whole", func() {
+		s := newRawServer(func(_ int64, conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\nbody")
+		})
+		o, _ := clientOf(s).Run(context.Background(), order(http.MethodPost, "{}", time.Second))
+		Expect(o).To(Equal(outcome.Answered{Status: 500, Attributes: map[string]string{}, Body: []byte("body")}))
+	})
+
+	It("does not get the late answer of the order before it", func() {
+		s := newRawServer(func(n int64, conn net.Conn, r *http.Request) {
+			if n == 1 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			reply(conn, strings.ToUpper(r.Header.Get(backendserver.HeaderKey)))
+		})
+		client := clientOf(s)
+		first := order(http.MethodPost, "{}", 50*time.Millisecond)
+		o, _ := client.Run(context.Background(), first)
+		Expect(o).To(BeAssignableToTypeOf(outcome.Unknown{}))
+		second := order(http.MethodPost, "{}", time.Second)
+		second.Request.Key = "other"
+		o, _ = client.Run(context.Background(), second)
+		Expect(o).To(HaveField("Body", []byte("OTHER")))
+	})
+})
+
+// pausing is a context whose deadline is asked for in the course of an order, where the process pauses.
+type pausing struct {
+	context.Context
+	pause func()
+}
+
+// Value implements [context.Context].
+func (p pausing) Value(key any) any {
+	p.pause()
+	return p.Context.Value(key)
+}
--- a/io/backendserver/header.go
+++ b/io/backendserver/header.go
@@ -6,5 +6,5 @@
 	HeaderDeadline  = "Redwingsill-Deadline"   // the time by which the server must have stopped, in RFC 3339
 	HeaderRequestID = "Redwingsill-Request-Id" // the id of work that must not repeat
 	HeaderRefused   = "Redwingsill-Refused"    // in a refusal before running: Shed, Grant, Deadline, Draining or Connections
-	HeaderKey       = "Redwingsill-Key"        // the key of the request
+	HeaderKey       = "Redwingsill-Key"        // the key of the request, escaped as in a URL
 )
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -80,8 +81,10 @@
 	if !ok {
 		return bad(http.StatusNotFound, "service", vars["service"], "a declared service")
 	}
-	key := vars["key"]
+	key, err := url.PathUnescape(vars["key"])
 	switch {
+	case err != nil:
+		return bad(http.StatusBadRequest, "key", vars["key"], "a key, escaped as in a URL")
 	case service.DividedByKey && key == "":
 		return bad(http.StatusBadRequest, "key", key, "a key; the service is divided by key")
 	case !service.DividedByKey && key != "":
