The platform's lease as the odd vote, and a measurement of ownership

Cause: measure ownership showed that a cell of four hosts that lost two was not served until they came back, and that a cell whose arbiter was cut off was not served at all for 2 s. Change: where the number of members is even, the platform's lease counts as one more vote, held from one revision to the next; an arbiter that lost its majority gives the lease up; a successor does not wait for the lease to lapse while the platform is out.

--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -73,6 +73,13 @@
 	leaseRevision int64
 	leaseAt       time.Time
 	leaseTriedAt  time.Time
+	// votedAt is when the newest renewal was sent that proves that no other host has held the lease since this one took
+	// it. It stands for the platform's vote. A lease that was lost and taken again has none.
+	votedAt time.Time
+	hasVote bool
+	// isCreating says that the renewal under way takes a lease that had lapsed, and isLeaseUnsure that one had no answer.
+	isCreating    bool
+	isLeaseUnsure bool
 	// assignmentRevision is the platform's revision of the assignment. It is known once isFenced.
 	assignmentRevision int64
 	// watched is the platform's revision of the newest configuration that was read, or -1.
@@ -100,6 +107,7 @@
 		holdings: map[string]holding{}, orders: map[int64]order{}, orderID: v.Term << 20,
 		sequence: now.UnixNano(), pending: map[int64]purpose{}, watched: -1,
 		lease: v.Lease, leaseRevision: v.LeaseRevision, leaseAt: now, plannedAt: now, changed: true,
+		votedAt: v.LeaseSince, hasVote: v.LeaseRevision != 0,
 	}
 	for _, f := range v.Followed {
 		a = a.withNews(f)
@@ -126,8 +134,11 @@
 // Since returns the latest time at which a majority is known to have followed the arbiter.
 func (a Arbiter) Since(now time.Time) time.Time {
 	return a.quorums.Since(func(name string) time.Time {
-		if name == a.name {
+		switch name {
+		case a.name:
 			return now
+		case quorum.Platform:
+			return a.votedAt
 		}
 		return a.peers[name].followedAt
 	})
--- a/core/arbiter/platform.go
+++ b/core/arbiter/platform.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"time"
@@ -27,10 +28,22 @@
 	}
 	if now.Sub(a.leaseTriedAt) >= a.timing.LeaseRenewal && !a.isPending(renewLease) && a.isHeardBy(now) {
 		a.leaseTriedAt = now
+		a.isCreating = a.leaseRevision == 0
 		call(renewLease, func(id int64) effect.Effect {
 			return effect.WriteKey{ID: id, Key: a.leaseKey(), Value: a.lease, Revision: a.leaseRevision, TTL: a.timing.LeaseTTL}
 		})
 	}
+	if !a.isHeardBy(now) && a.leaseRevision != 0 && !a.isPending(renewLease) {
+		call(dropLease, func(id int64) effect.Effect {
+			return effect.WriteKey{ID: id, Key: a.leaseKey(), Revision: a.leaseRevision}
+		})
+		a.leaseRevision, a.hasVote = 0, false
+	}
+	if a.isLeaseUnsure && !a.isPending(readLease) && !now.Before(a.retryAt) {
+		call(readLease, func(id int64) effect.Effect {
+			return effect.ReadKey{ID: id, Key: a.leaseKey(), After: -1}
+		})
+	}
 	if !a.isPending(watchConfiguration) && !now.Before(a.retryAt) {
 		call(watchConfiguration, func(id int64) effect.Effect {
 			return effect.ReadKey{ID: id, Key: string(platformkey.Configuration), After: a.watched}
@@ -87,7 +100,9 @@
 		return a.withAssignmentText(e, now), nil
 	case readTerm:
 		return a.rewriteTerm(e, now)
-	case writeAssignment, writeTerm, renewLease:
+	case readLease:
+		return a.withLeaseRead(e, now), nil
+	case writeAssignment, writeTerm, renewLease, dropLease:
 	}
 	return a, nil
 }
@@ -180,25 +195,45 @@
 	a.platformAt = now
 	switch p {
 	case renewLease:
-		a.leaseRevision, a.leaseAt = e.Revision, now
+		a = a.withLease(e.Revision, now)
 	case writeAssignment:
 		a.assignmentRevision = e.Revision
 		return a.published(now)
-	case watchConfiguration, readAssignment, readTerm, writeTerm:
+	case watchConfiguration, readAssignment, readTerm, writeTerm, readLease, dropLease:
+	}
+	return a
+}
+
+// withLease notes a renewal that took effect. The vote goes on only from one revision to the next.
+func (a Arbiter) withLease(revision int64, now time.Time) Arbiter {
+	a.leaseRevision, a.leaseAt = revision, now
+	a.hasVote = a.hasVote && !a.isCreating
+	if a.hasVote {
+		a.votedAt = a.leaseTriedAt
 	}
 	return a
 }
 
+// withLeaseRead resolves a renewal whose answer was lost: what this start of the host wrote is its own.
+func (a Arbiter) withLeaseRead(e event.KeyRead, now time.Time) Arbiter {
+	a.isLeaseUnsure = false
+	if e.Revision != 0 && bytes.Equal(e.Value, a.lease) {
+		return a.withLease(e.Revision, now)
+	}
+	a.leaseRevision, a.hasVote = 0, false
+	return a
+}
+
 // conflicted handles a write that lost. Whether it is this arbiter's own earlier write is for reading to tell.
 func (a Arbiter) conflicted(id int64, now time.Time) Arbiter {
 	p := a.pending[id]
 	a = a.answered(id)
 	switch p {
 	case renewLease:
-		a.leaseRevision = 0
+		a.leaseRevision, a.hasVote = 0, false
 	case writeAssignment:
 		a.isRead = false
-	case watchConfiguration, readAssignment, readTerm, writeTerm, "":
+	case watchConfiguration, readAssignment, readTerm, writeTerm, readLease, dropLease, "":
 	}
 	if p != "" {
 		a.platformAt = now
@@ -210,8 +245,12 @@
 func (a Arbiter) failed(id int64, now time.Time) Arbiter {
 	p := a.pending[id]
 	a = a.answered(id)
-	if p == writeAssignment {
+	switch p {
+	case writeAssignment:
 		a.isRead = false
+	case renewLease:
+		a.isLeaseUnsure = true
+	case watchConfiguration, readAssignment, readTerm, writeTerm, readLease, dropLease, "":
 	}
 	if p != "" {
 		a.retryAt = now.Add(a.timing.Stagger)
@@ -263,9 +302,10 @@
 	return quorum.Quorums{}.With(members).Same(a.quorums)
 }
 
-// isHeardBy reports whether a majority has followed lately. Without one the lease is left to lapse.
+// isHeardBy reports whether a majority has followed lately. Without one the lease is given up, so that another host may
+// try.
 func (a Arbiter) isHeardBy(now time.Time) bool {
-	return now.Sub(a.Since(now)) < 2*a.timing.Silence
+	return now.Sub(a.Since(now)) < 3*a.timing.Beat
 }
 
 func (a Arbiter) hasLease(now time.Time) bool {
--- a/core/arbiter/purpose.go
+++ b/core/arbiter/purpose.go
@@ -9,5 +9,7 @@
 	writeAssignment    purpose = "write assignment"
 	renewLease         purpose = "renew lease"
 	writeTerm          purpose = "write term"
+	readLease          purpose = "read lease"
+	dropLease          purpose = "drop lease"
 	readTerm           purpose = "read term"
 )
--- a/core/candidate/candidate.go
+++ b/core/candidate/candidate.go
@@ -34,10 +34,12 @@
 	failures int
 
 	leaseRevision int64
-	leaseAt       time.Time
-	lease         []byte
-	record        termrecord.TermRecord
-	isFirst       bool
+	// leaseAt is when the newest write of the lease was sent, and takenAt when the lease was taken.
+	leaseAt time.Time
+	takenAt time.Time
+	lease   []byte
+	record  termrecord.TermRecord
+	isFirst bool
 
 	// term is the term that members are asked to follow, or 0.
 	term     int64
@@ -66,14 +68,23 @@
 // Failures returns the number of calls to the platform that failed in a row.
 func (c Candidate) Failures() int { return c.failures }
 
-// Won returns what the candidate knows once a majority follows it.
-func (c Candidate) Won() (victory.Victory, bool) {
-	accepted := func(name string) bool { return c.promises[name].message.Accepted }
-	if c.term == 0 || !c.quorums.Has(accepted) {
+// Won returns what the candidate knows once a majority follows it. A majority that needs the platform's vote counts only
+// after a while, since the permits of earlier arbiters are known to end sooner where members alone suffice.
+func (c Candidate) Won(now time.Time) (victory.Victory, bool) {
+	members := func(name string) bool { return c.promises[name].message.Accepted }
+	voters := func(name string) bool { return members(name) || name == quorum.Platform && c.leaseRevision != 0 }
+	needsVote := !c.quorums.Has(members)
+	if c.term == 0 || !c.quorums.Has(voters) || needsVote && now.Sub(c.firstPromise()) < 2*c.timing.Stagger {
 		return victory.Victory{}, false
 	}
 	v := victory.Victory{Term: c.term, Quorums: c.quorums, LeaseRevision: c.leaseRevision,
 		Lease: c.lease, Since: c.since}
+	if c.leaseRevision != 0 {
+		v.LeaseSince = c.leaseAt
+	}
+	if needsVote && !c.isFirst {
+		v.PermitsEnd = c.takenAt.Add(c.timing.Permit + c.timing.Drift)
+	}
 	for _, name := range c.quorums.Members() {
 		p := c.promises[name]
 		if !p.message.Accepted {
@@ -88,6 +99,17 @@
 	return v, true
 }
 
+// firstPromise returns when the first promise came.
+func (c Candidate) firstPromise() time.Time {
+	var first time.Time
+	for _, p := range c.promises {
+		if first.IsZero() || p.at.Before(first) {
+			first = p.at
+		}
+	}
+	return first
+}
+
 // Step returns the candidate after an event, and what is to be done. The member is the same host's.
 func (c Candidate) Step(e event.Event, m member.Member, now time.Time) (Candidate, []effect.Effect) {
 	switch e := e.(type) {
@@ -150,12 +172,13 @@
 	return slices.Contains(m.Configuration().DataCentres[c.dataCentre].EntryHosts, c.name)
 }
 
-// canSucceed reports whether the host may take a term that the last arbiter reserved for it: the platform does not
-// answer, and the lease of that arbiter has surely lapsed.
+// canSucceed reports whether the host may take a term that the last arbiter reserved for it: the arbiter is silent, and
+// so is the platform.
 func (c Candidate) canSucceed(m member.Member, now time.Time) bool {
 	place := slices.Index(m.Successors(), c.name)
-	wait := c.timing.LeaseTTL + time.Duration(place)*2*c.timing.Stagger
-	return place >= 0 && c.failures >= 1 && !m.IsSilent(now) && now.Sub(m.BeatAt()) > wait &&
+	wait := c.timing.Silence + time.Duration(place)*2*c.timing.Stagger
+	isOut := c.failures >= 1 || len(c.pending) > 0 && now.Sub(c.sentAt) > c.timing.Stagger
+	return place >= 0 && isOut && !m.IsSilent(now) && now.Sub(m.BeatAt()) > wait &&
 		m.Term() < c.reservedTerm(m, place)
 }
 
@@ -205,7 +228,7 @@
 
 // withLease goes on to the term once the lease is held.
 func (c Candidate) withLease(revision int64, now time.Time) (Candidate, []effect.Effect) {
-	c.leaseRevision, c.leaseAt = revision, now
+	c.leaseRevision, c.leaseAt, c.takenAt = revision, c.sentAt, now
 	return c.call(readTerm, func(id int64) effect.Effect {
 		return effect.ReadKey{ID: id, Key: c.key(platformkey.Term), After: -1}
 	}, now)
@@ -237,7 +260,7 @@
 	case takeLease:
 		return c.withLease(e.Revision, now)
 	case renewLease:
-		c.leaseRevision, c.leaseAt = e.Revision, now
+		c.leaseRevision, c.leaseAt = e.Revision, c.sentAt
 	case writeTerm:
 		c.term, c.quorums, c.since = c.record.Term, c.record.Quorums, now
 		c.promises = map[string]promise{}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -128,7 +128,7 @@
 	}
 	c.candidate, more = c.candidate.Step(e, c.member, now)
 	effects = append(effects, more...)
-	if won, ok := c.candidate.Won(); ok && won.Term == c.member.Term() && !c.isLeaving {
+	if won, ok := c.candidate.Won(now); ok && won.Term == c.member.Term() && !c.isLeaving {
 		next := arbiter.New(c.name, c.dataCentre, c.incarnation, c.timing, won, c.member, now)
 		next, more = next.Step(event.Ticked{}, c.member, now)
 		effects = append(effects, more...)
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// Platform stands in a set for the platform's lease. It is the odd vote where the number of members is even.
+const Platform = "@platform"
+
 // Quorums is sets of members, each of which must agree by majority. There are two while the members change.
 type Quorums [][]string
 
@@ -44,20 +47,23 @@
 	return least
 }
 
-// Members returns the members of all sets, sorted.
+// Members returns the members of all sets, sorted, without the platform.
 func (q Quorums) Members() []string {
 	var all []string
 	for _, set := range q {
 		all = append(all, set...)
 	}
 	slices.Sort(all)
-	return slices.Compact(all)
+	return slices.DeleteFunc(slices.Compact(all), func(name string) bool { return name == Platform })
 }
 
-// With returns the quorums with one more set, unless it is the newest already.
+// With returns the quorums with one more set of members, unless it is the newest already.
 func (q Quorums) With(set []string) Quorums {
 	sorted := slices.Clone(set)
 	slices.Sort(sorted)
+	if len(sorted) > 0 && len(sorted)%2 == 0 {
+		sorted = append(sorted, Platform)
+	}
 	if len(q) > 0 && slices.Equal(q[len(q)-1], sorted) {
 		return q
 	}
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -31,7 +31,9 @@
 	Entry("one of one", quorum.Quorums{{"a"}}, []string{"a"}, true),
 	Entry("one of two", quorum.Quorums{{"a", "b"}}, []string{"a"}, false),
 	Entry("two of three", quorum.Quorums{{"a", "b", "c"}}, []string{"a", "c"}, true),
-	Entry("two of four", quorum.Quorums{{"a", "b", "c", "d"}}, []string{"a", "c"}, false),
+	Entry("two of four", quorum.Quorums{}.With([]string{"a", "b", "c", "d"}), []string{"a", "c"}, false),
+	Entry("two of four and the platform", quorum.Quorums{}.With([]string{"a", "b", "c", "d"}), []string{"a", "c", quorum.Platform}, true),
+	Entry("one of three and the platform", quorum.Quorums{}.With([]string{"a", "b", "c"}), []string{"a", quorum.Platform}, false),
 	Entry("the new set alone", quorum.Quorums{{"a", "b", "c"}, {"c", "d", "e"}}, []string{"c", "d", "e"}, false),
 	Entry("both sets", quorum.Quorums{{"a", "b", "c"}, {"c", "d", "e"}}, []string{"b", "c", "d"}, true),
 )
--- a/core/victory/victory.go
+++ b/core/victory/victory.go
@@ -15,6 +15,8 @@
 	// Lease is the value of the lease, and LeaseRevision its revision, or 0 where the lease is not held.
 	Lease         []byte
 	LeaseRevision int64
+	// LeaseSince is when the newest write of the lease was sent, or zero where the lease is not held.
+	LeaseSince time.Time
 	// Since is a time after which every promise was made.
 	Since time.Time
 	// PermitsEnd is when the last permit of every earlier arbiter has surely ended.
--- a/io/commandline/measure.go
+++ b/io/commandline/measure.go
@@ -10,6 +10,7 @@
 
 	"redwingsill/core/kind"
 	"redwingsill/core/measure/flood"
+	"redwingsill/core/measure/ownership"
 )
 
 func measureCommand() *cli.Command {
@@ -17,6 +18,7 @@
 		Name:  "measure",
 		Usage: "measure the decisions against baselines",
 		Commands: []*cli.Command{
+			measureOf("ownership", "the ownership of keys under faults, in virtual time", func(seed uint64) any { return ownership.New(seed).Run() }),
 			measureOf("flood", "the service of each rank under floods, in virtual time", func(seed uint64) any { return flood.New(seed).Run() }),
 		},
 	}
