Control messages compressed and renewed by digest, and a measurement of capacity

Cause: the arbiter of a cell of 20 hosts would have sent and received 37 KB a second; the target is 5 KB. Change: a report names the member's permits by a digest, and a beat renews them with one number where the digests agree; quorums and successors are sent when they changed; versions are one text; the control connections compress each message with what went before. measure capacity varies hosts, servers, slots, hot keys and changes, and fits the slopes. Ruled out: a longer beat (failover would be slower); cells below 6 hosts (a lease for each would exceed the platform's writes).

--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -233,7 +233,11 @@
 	for _, held := range r.Holdings {
 		a = a.withClaim(r.Member, r.Incarnation, held)
 	}
-	a = a.released(r, now).withRefusals(r).withView()
+	a = a.released(r, now)
+	if r.HasHoldings {
+		a = a.withRefusals(r)
+	}
+	a = a.withView()
 	return a.beat(r.Member, now)
 }
 
@@ -258,7 +262,10 @@
 	p := a.peers[to]
 	own := a.stamp()
 	b := message.Beat{Term: a.term, Arbiter: a.name, Incarnation: a.incarnation, Round: a.round, Echo: p.report.SentAt,
-		Successors: a.successors(), Quorums: a.quorums, Urgent: a.urgent, Stamp: own}
+		Urgent: a.urgent, Stamp: own}
+	if p.report.Stamp.Members != own.Members {
+		b.Quorums, b.Successors = a.quorums, a.successors()
+	}
 	if p.report.Stamp.Configuration < own.Configuration {
 		b.Configuration = &a.configuration
 	}
@@ -268,7 +275,7 @@
 	if p.report.Stamp.HasOlderView(own) {
 		b.View = &a.view
 	}
-	a, b.Permits = a.permits(to, now)
+	a, b = a.withPermits(b, to, now)
 	for _, id := range slices.Sorted(maps.Keys(a.orders)) {
 		if o := a.orders[id]; o.host == to && !o.isDone {
 			b.Releases = append(b.Releases, o.release)
@@ -280,6 +287,21 @@
 	return a, []effect.Effect{effect.Send{To: to, Message: b}}
 }
 
+// withPermits returns a beat that renews the member's permits: by their digest where the member's report agrees, else one
+// by one.
+func (a Arbiter) withPermits(b message.Beat, to string, now time.Time) (Arbiter, message.Beat) {
+	a, permits := a.permits(to, now)
+	b.Digest = permit.Digest(permits)
+	agrees := b.Digest == a.peers[to].report.Digest
+	switch {
+	case agrees && len(permits) > 0:
+		b.Renewal = permits[0].Validity
+	case !agrees:
+		b.Permits, b.WantsHoldings = permits, true
+	}
+	return a, b
+}
+
 // permits returns the permits to send to a member. They last from the time at which a majority followed the arbiter.
 func (a Arbiter) permits(to string, now time.Time) (Arbiter, []permit.Permit) {
 	p := a.peers[to]
@@ -376,6 +398,7 @@
 		AssignmentVersion: a.assignment.Version,
 		ViewTerm:          a.view.Term,
 		ViewVersion:       a.view.Version,
+		Members:           a.quorums.Digest(a.successors()),
 	}
 }
 
--- a/core/drive/drive.go
+++ b/core/drive/drive.go
@@ -13,12 +13,19 @@
 	"redwingsill/core/event"
 	"redwingsill/core/host"
 	"redwingsill/core/hostentry"
+	"redwingsill/core/message"
 	"redwingsill/core/request"
 	"redwingsill/core/timeline"
 	"redwingsill/core/timing"
 )
 
-const tickInterval = 100 * time.Millisecond
+const (
+	tickInterval = 100 * time.Millisecond
+	// envelope is what jsonrpc2 adds to a message.
+	envelope = `{"method":"Message","params":{"Kind":"Report","Message":},"id":0,"jsonrpc":"2.0"}`
+	// frameLength is the length of a frame's header, in bytes.
+	frameLength = 4
+)
 
 // Drive is the hosts of one cell and the fakes around them. It is not safe for use by several goroutines.
 type Drive struct {
@@ -40,6 +47,10 @@
 	ticket uint64
 	// Outcomes are what callers were told, by ticket.
 	Outcomes map[uint64]Told
+	// IsMetered turns the counting of messages, bytes and processor time on.
+	IsMetered bool
+	usage     map[string]Usage
+	wires     map[[2]string]*wire
 	// OnStep is called after each step of a host.
 	OnStep     func(name string)
 	violations []string
@@ -52,7 +63,7 @@
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	d := &Drive{start: start, Timeline: timeline.New(start), random: rand.New(rand.NewPCG(seed, 7)), timing: t, dataCentre: dataCentre,
 		nodes: map[string]*node{}, servers: map[string]*server{}, leaving: map[string]bool{}, cuts: map[[2]string]bool{},
-		Outcomes: map[uint64]Told{}, running: map[string]occupancy{}, OnStep: func(string) {}}
+		Outcomes: map[uint64]Told{}, running: map[string]occupancy{}, usage: map[string]Usage{}, wires: map[[2]string]*wire{}, OnStep: func(string) {}}
 	d.platform = newPlatform(d)
 	d.platform.put(configurationKey, encode(c))
 	for _, name := range c.DataCentres[dataCentre].EntryHosts {
@@ -159,6 +170,16 @@
 // Configure puts a configuration in the platform as its next revision.
 func (d *Drive) Configure(c configuration.Configuration) { d.platform.put(configurationKey, encode(c)) }
 
+// Usage returns what a host has used since the last call.
+func (d *Drive) Usage(name string) Usage {
+	u := d.usage[name]
+	delete(d.usage, name)
+	return u
+}
+
+// PlatformCalls returns the calls to the platform so far.
+func (d *Drive) PlatformCalls() int { return d.platform.calls }
+
 // Kept returns what the platform keeps under a key.
 func (d *Drive) Kept(key string) ([]byte, int64) {
 	r := d.platform.present(key)
@@ -194,7 +215,11 @@
 // step steps a host and carries out what it asks.
 func (d *Drive) step(n *node, e event.Event) {
 	var effects []effect.Effect
+	began := time.Now()
 	n.host, effects = n.host.Step(e, n.clock(d.Now()))
+	if d.IsMetered {
+		d.usage[n.name] = d.usage[n.name].withStep(time.Since(began))
+	}
 	d.OnStep(n.name)
 	for _, f := range effects {
 		d.perform(n, f)
@@ -227,6 +252,11 @@
 
 // send carries a message to another host, unless it is lost.
 func (d *Drive) send(from *node, f effect.Send) {
+	if d.IsMetered && isControl(f.Message) {
+		size := d.sizeOf(from.name, f)
+		d.usage[from.name] = d.usage[from.name].withSent(size)
+		d.usage[f.To] = d.usage[f.To].withReceived(size)
+	}
 	to, ok := d.nodes[f.To]
 	if !ok || d.cuts[[2]string{from.name, f.To}] || d.random.Float64() < d.Loss {
 		return
@@ -238,6 +268,24 @@
 	}
 }
 
+// sizeOf returns the bytes that a message takes on its connection.
+func (d *Drive) sizeOf(from string, f effect.Send) int {
+	pair := [2]string{from, f.To}
+	if d.wires[pair] == nil {
+		d.wires[pair] = newWire()
+	}
+	return d.wires[pair].size(append([]byte(envelope), encode(f.Message)...))
+}
+
+func isControl(m message.Message) bool {
+	switch m.(type) {
+	case message.Ask, message.Told:
+		return false
+	default:
+		return true
+	}
+}
+
 // deliverTo gives an event to one start of a host.
 func (d *Drive) deliverTo(n *node, delay time.Duration, e event.Event) {
 	d.After(delay, func() {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -40,6 +40,8 @@
 	arbiterIncarnation int64
 	quorums            quorum.Quorums
 	successors         []string
+	membersDigest      uint64
+	wantsHoldings      bool
 	beatAt             time.Time
 	reportedAt         time.Time
 	// heardAt is when the newest round of any arbiter came. What the member has reported since names no later round.
@@ -124,6 +126,7 @@
 		AssignmentVersion: m.assignment.Version,
 		ViewTerm:          m.view.Term,
 		ViewVersion:       m.view.Version,
+		Members:           m.membersDigest,
 	}
 }
 
@@ -224,6 +227,7 @@
 	reply.Quiet = now.Sub(m.quietSince)
 	reply.Holdings = m.Permits(now)
 	m.term, m.arbiter, m.arbiterIncarnation, m.round = f.Term, f.Candidate, f.Incarnation, 0
+	m.wantsHoldings = true
 	own := m.Stamp()
 	if own.Configuration > f.Stamp.Configuration {
 		reply.Configuration = &m.configuration
@@ -251,7 +255,10 @@
 	}
 	isNew := b.Term > m.term
 	m.term, m.arbiter, m.arbiterIncarnation = b.Term, b.Arbiter, b.Incarnation
-	m.beatAt, m.heardAt, m.quorums, m.successors = now, now, b.Quorums, b.Successors
+	m.beatAt, m.heardAt, m.wantsHoldings = now, now, b.WantsHoldings
+	if len(b.Quorums) > 0 {
+		m.quorums, m.successors, m.membersDigest = b.Quorums, b.Successors, b.Stamp.Members
+	}
 	m.round = max(b.Round, m.round)
 	if isNew {
 		m.round = b.Round
@@ -288,8 +295,15 @@
 
 // holdPermits renews the permits of a beat. They count from the report that the beat answers.
 func (m Member) holdPermits(b message.Beat, now time.Time) (Member, []effect.Effect) {
+	permits := b.Permits
+	if held := m.Permits(now); b.Renewal > 0 && permit.Digest(held) == b.Digest {
+		for _, p := range held {
+			p.Validity = b.Renewal
+			permits = append(permits, p)
+		}
+	}
 	var effects []effect.Effect
-	for _, p := range b.Permits {
+	for _, p := range permits {
 		p = p.WithExpiry(b.Echo.Add(p.Validity))
 		if old := m.permits[p.Server]; m.gaveUp[p.Server].Compare(p.Grant) >= 0 || old.Grant.Compare(p.Grant) > 0 || !p.IsValid(now) ||
 			old.Grant == p.Grant && !p.Expiry.After(old.Expiry) {
@@ -332,11 +346,14 @@
 		Round:       m.round,
 		SentAt:      now,
 		Stamp:       m.Stamp(),
-		Holdings:    m.Permits(now),
+		Digest:      permit.Digest(m.Permits(now)),
 		Released:    slices.Sorted(maps.Keys(m.released)),
 		Adopted:     slices.Sorted(maps.Keys(m.adopted)),
 		Leaving:     m.leaving,
 	}
+	if m.wantsHoldings {
+		r.Holdings, r.HasHoldings = m.Permits(now), true
+	}
 	if now.Sub(m.contenderAt) < 2*m.timing.Silence {
 		r.Contender = m.contender
 	}
--- a/core/message/beat.go
+++ b/core/message/beat.go
@@ -19,10 +19,15 @@
 	Incarnation int64
 	Round       int64
 	// Echo is the SentAt of the member's newest report. Permits count from it.
-	Echo     time.Time         `json:",omitzero"`
-	Permits  []permit.Permit   `json:",omitempty"`
-	Releases []release.Release `json:",omitempty"`
-	// Successors are the hosts that may follow the arbiter with the terms after Term while the platform is out.
+	Echo time.Time `json:",omitzero"`
+	// Digest stands for the permits that the arbiter believes the member to hold. Where the member holds just these,
+	// Renewal is their new validity. Otherwise Permits lists them, and WantsHoldings asks for the member's own list.
+	Digest        uint64            `json:",omitempty"`
+	Renewal       time.Duration     `json:",omitempty"`
+	Permits       []permit.Permit   `json:",omitempty"`
+	WantsHoldings bool              `json:",omitempty"`
+	Releases      []release.Release `json:",omitempty"`
+	// Quorums and Successors are sent where the member's own are older. Successors are the hosts that may follow the arbiter with the terms after Term while the platform is out.
 	Successors []string       `json:",omitempty"`
 	Quorums    quorum.Quorums `json:",omitempty"`
 	// Urgent asks for a report at once.
--- a/core/message/report.go
+++ b/core/message/report.go
@@ -18,8 +18,11 @@
 	// SentAt is the member's clock, for the arbiter to send back.
 	SentAt time.Time
 	Stamp  stamp.Stamp
-	// Holdings are the member's valid permits.
+	// Digest stands for the member's valid permits. Holdings lists them where the arbiter has asked for them.
+	Digest   uint64          `json:",omitempty"`
 	Holdings []permit.Permit `json:",omitempty"`
+	// HasHoldings says that Holdings is the whole list, though it may be empty.
+	HasHoldings bool `json:",omitempty"`
 	// Released lists the orders of release that are done; Adopted those whose memory the heir has.
 	Released []int64 `json:",omitempty"`
 	Adopted  []int64 `json:",omitempty"`
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -3,7 +3,10 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Platform stands in a set for the platform's lease. It is the odd vote where the number of members is even.
@@ -92,3 +95,12 @@
 func (q Quorums) Same(o Quorums) bool {
 	return slices.EqualFunc(q, o, func(a, b []string) bool { return slices.Equal(a, b) })
 }
+
+// Digest returns a number that stands for the sets and for a list of names beside them. It is never 0.
+func (q Quorums) Digest(names []string) uint64 {
+	text := strings.Join(names, ",")
+	for _, set := range q {
+		text += ";" + strings.Join(set, ",")
+	}
+	return max(1, xxhash.Sum64String(text))
+}
--- a/core/stamp/stamp.go
+++ b/core/stamp/stamp.go
@@ -1,6 +1,10 @@
 // Package stamp holds the versions that a host has of each thing that its cell shares.
 package stamp
 
+import "fmt"
+
+const form = "%d %d.%d %d.%d %d"
+
 // Stamp is the versions that a host holds.
 type Stamp struct {
 	Configuration     int64
@@ -8,6 +12,8 @@
 	AssignmentVersion int64
 	ViewTerm          int64
 	ViewVersion       int64
+	// Members stands for the quorums and successors.
+	Members uint64
 }
 
 // HasOlderAssignment reports whether the assignment is older than that of o.
@@ -20,3 +26,15 @@
 func (s Stamp) HasOlderView(o Stamp) bool {
 	return s.ViewTerm < o.ViewTerm || s.ViewTerm == o.ViewTerm && s.ViewVersion < o.ViewVersion
 }
+
+// MarshalText returns all versions in one text, since a stamp is in every message.
+func (s Stamp) MarshalText() ([]byte, error) {
+	return fmt.Appendf(nil, form, s.Configuration, s.AssignmentTerm, s.AssignmentVersion, s.ViewTerm, s.ViewVersion, s.Members), nil
+}
+
+// UnmarshalText reads what MarshalText returned.
+func (s *Stamp) UnmarshalText(text []byte) error {
+	_, err := fmt.Sscanf(string(text), form, &s.Configuration, &s.AssignmentTerm, &s.AssignmentVersion, &s.ViewTerm,
+		&s.ViewVersion, &s.Members)
+	return err
+}
--- a/io/commandline/measure.go
+++ b/io/commandline/measure.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"redwingsill/core/kind"
+	"redwingsill/core/measure/capacity"
 	"redwingsill/core/measure/flood"
 	"redwingsill/core/measure/ownership"
 )
@@ -19,6 +20,8 @@
 		Usage: "measure the decisions against baselines",
 		Commands: []*cli.Command{
 			measureOf("ownership", "the ownership of keys under faults, in virtual time", func(seed uint64) any { return ownership.New(seed).Run() }),
+			measureOf("capacity", "what control costs against the size of a cell; processor time and memory are this machine's",
+				func(seed uint64) any { return capacity.New(seed).Run() }),
 			measureOf("flood", "the service of each rank under floods, in virtual time", func(seed uint64) any { return flood.New(seed).Run() }),
 		},
 	}
--- a/io/peer/handshake.go
+++ b/io/peer/handshake.go
@@ -25,39 +25,40 @@
 	roleCallee = "callee"
 )
 
-// handshake exchanges names and proofs and returns the peer's name.
-func handshake(conn net.Conn, own string, secret []byte, role string) (string, error) {
+// handshake exchanges names and proofs. It returns the peer's name and whether the peer compresses what it sends.
+func handshake(conn net.Conn, own string, secret []byte, role string, deflates bool) (string, bool, error) {
 	const op = "handshake"
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return "", newError(op, kind.Unavailable, err)
+		return "", false, newError(op, kind.Unavailable, err)
 	}
 	type hello struct {
-		Name  string
-		Nonce []byte
+		Name     string
+		Nonce    []byte
+		Deflates bool
 	}
 	type proof struct{ MAC []byte }
-	mine := hello{Name: own, Nonce: make([]byte, nonceLength)}
+	mine := hello{Name: own, Nonce: make([]byte, nonceLength), Deflates: deflates}
 	if _, err := rand.Read(mine.Nonce); err != nil {
-		return "", newError(op, kind.Unavailable, err)
+		return "", false, newError(op, kind.Unavailable, err)
 	}
 	var theirs hello
 	if err := exchange(conn, mine, &theirs); err != nil {
-		return "", newError(op, kind.Denied, err)
+		return "", false, newError(op, kind.Denied, err)
 	}
 	if len(theirs.Nonce) != nonceLength || theirs.Name == "" {
-		return "", newError(op, kind.Denied, errors.New("the peer sent no name or nonce"))
+		return "", false, newError(op, kind.Denied, errors.New("the peer sent no name or nonce"))
 	}
 	var answer proof
-	if err := exchange(conn, proof{MAC: mac(secret, role, own, theirs.Nonce, mine.Nonce)}, &answer); err != nil {
-		return "", newError(op, kind.Denied, err)
+	if err := exchange(conn, proof{MAC: mac(secret, role, own, theirs.Nonce, mine.Nonce, deflates)}, &answer); err != nil {
+		return "", false, newError(op, kind.Denied, err)
 	}
-	if !hmac.Equal(answer.MAC, mac(secret, other(role), theirs.Name, mine.Nonce, theirs.Nonce)) {
-		return "", newError(op, kind.Denied, errors.New("the peer does not have the secret"))
+	if !hmac.Equal(answer.MAC, mac(secret, other(role), theirs.Name, mine.Nonce, theirs.Nonce, theirs.Deflates)) {
+		return "", false, newError(op, kind.Denied, errors.New("the peer does not have the secret"))
 	}
 	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return "", newError(op, kind.Unavailable, err)
+		return "", false, newError(op, kind.Unavailable, err)
 	}
-	return theirs.Name, nil
+	return theirs.Name, theirs.Deflates, nil
 }
 
 func exchange(conn net.Conn, mine, theirs any) error {
@@ -71,7 +72,10 @@
 	return json.Unmarshal(text, theirs)
 }
 
-func mac(secret []byte, role, name string, challenge, own []byte) []byte {
+func mac(secret []byte, role, name string, challenge, own []byte, deflates bool) []byte {
+	if deflates {
+		role += " that deflates"
+	}
 	h := hmac.New(sha256.New, secret)
 	for _, part := range [][]byte{[]byte(role), []byte(name), challenge, own} {
 		h.Write([]byte{byte(len(part) >> 8), byte(len(part))})
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -29,14 +29,14 @@
 	rpc *jsonrpc2.Conn
 }
 
-// dial connects to the host that should have a name.
-func dial(ctx context.Context, address, own, name string, secret []byte, sent, received *atomic.Int64) (*link, error) {
+// dial connects to the host that should have a name. What is sent is compressed where it deflates.
+func dial(ctx context.Context, address, own, name string, secret []byte, deflates bool, sent, received *atomic.Int64) (*link, error) {
 	const op = "dial"
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, newError(op, kind.Unavailable, err)
 	}
-	got, err := handshake(conn, own, secret, roleCaller)
+	got, inflates, err := handshake(conn, own, secret, roleCaller, deflates)
 	if err == nil && got != name {
 		err = newError(op, kind.Denied, errors.New(address+" is "+got+", not "+name))
 	}
@@ -44,7 +44,11 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	s := &stream{conn: conn, sent: sent, received: received}
+	s, err := newStream(conn, deflates, inflates, sent, received)
+	if err != nil {
+		_ = conn.Close()
+		return nil, newError(op, kind.Unavailable, err)
+	}
 	return &link{rpc: jsonrpc2.NewConn(ctx, s, refuser{})}, nil
 }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -99,15 +99,15 @@
 		p.askers[to] = a
 	}
 	p.mu.Unlock()
-	l, err := a.link(func() (*link, error) { return p.dial(to) })
+	l, err := a.link(func() (*link, error) { return p.dial(to, false) })
 	if err != nil {
 		return message.Told{Ticket: ask.Ticket, Outcome: outcome.NotRun{Reason: "no connection to " + to + ": " + err.Error(), Moved: true}}
 	}
 	return l.ask(ctx, ask)
 }
 
-func (p *Peer) dial(to string) (*link, error) {
-	l, err := dial(p.tasks.Context(), p.address(to), p.name, to, p.secret, &p.sent, &p.received)
+func (p *Peer) dial(to string, deflates bool) (*link, error) {
+	l, err := dial(p.tasks.Context(), p.address(to), p.name, to, p.secret, deflates, &p.sent, &p.received)
 	if err != nil {
 		p.failures.Store(to, time.Now())
 	}
@@ -115,13 +115,17 @@
 }
 
 func (p *Peer) serve(ctx context.Context, conn net.Conn, r receiver) {
-	from, err := handshake(conn, p.name, p.secret, roleCallee)
+	from, inflates, err := handshake(conn, p.name, p.secret, roleCallee, false)
 	if err != nil {
 		p.log.Warn("peer refused", "Remote", conn.RemoteAddr().String(), "Error", err.Error())
 		_ = conn.Close()
 		return
 	}
-	s := &stream{conn: conn, sent: &p.sent, received: &p.received}
+	s, err := newStream(conn, false, inflates, &p.sent, &p.received)
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
 	rpc := jsonrpc2.NewConn(ctx, s, asyncAsks{next: serving{from: from, receiver: r, cancels: &sync.Map{}}, tasks: p.tasks})
 	select {
 	case <-rpc.DisconnectNotify():
@@ -147,7 +151,7 @@
 				if time.Since(failedAt) < redialPause {
 					continue
 				}
-				next, err := p.dial(to)
+				next, err := p.dial(to, true)
 				if err != nil {
 					failedAt = time.Now()
 					p.log.Debug("peer unreachable", "Peer", to, "Error", err.Error())
