The hop through a steward weighed by measurement

Cause: the design sends every request to a backend server through one steward; what that costs and gives was not known. Change: measure hop compares a direct call, the way through the steward and the way through another entry host in one run; measure flood has a baseline in which every entry host sends and shares the slots; benchmarks with allocations. Ruled out: dividing slots among entry hosts.

--- /dev/null
+++ b/core/host/benchmark_test.go
@@ -0,0 +1,78 @@
+package host_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"redwingsill/core/assignment"
+	"redwingsill/core/configuration"
+	"redwingsill/core/duration"
+	"redwingsill/core/example"
+	"redwingsill/core/permit"
+	"redwingsill/core/request"
+	"redwingsill/core/resource"
+	"redwingsill/core/route"
+	"redwingsill/core/snapshot"
+	"redwingsill/core/unit"
+	"redwingsill/core/view"
+)
+
+// The size of one cell at the target: 20 entry hosts, 400 backend servers, 65,536 slots.
+func targetSize() (configuration.Configuration, assignment.Assignment, view.View) {
+	c := example.Size{Hosts: 20, Servers: 400, ServerSlots: 2, Slots: 65536, HotKeys: 150}.Configuration()
+	a := assignment.Assignment{Term: 1, Version: 1}.WithSlots(example.Service, 65536)
+	v := view.View{Term: 1, Version: 1, Stewards: map[string]string{}}
+	for i := range 400 {
+		v.Stewards[fmt.Sprintf("%s-%d", example.Service, i+1)] = fmt.Sprintf("ilo-%d", i%20+1)
+	}
+	for i := range 150 {
+		hash := unit.Hash(fmt.Sprint(i))
+		a = a.WithOwner(unit.Unit{Service: example.Service, Slot: int(hash % 65536), Hash: hash}, "inventario-1")
+	}
+	return c, a, v
+}
+
+func BenchmarkRoute(b *testing.B) {
+	c, a, v := targetSize()
+	s := snapshot.New("ilo-1", example.DataCentre, c, a, v)
+	r := request.Request{Service: example.Service, Key: "lot-7", Rank: example.Urgent, Deadline: time.Now().Add(time.Second)}
+	load := func(string) float64 { return 0 }
+	isLost := func(string) bool { return false }
+	b.ReportAllocs()
+	for i := uint64(0); b.Loop(); i++ {
+		route.Choose(&s, r, "", 0, load, isLost, i)
+	}
+}
+
+func BenchmarkNewSnapshot(b *testing.B) {
+	c, a, v := targetSize()
+	b.ReportAllocs()
+	for b.Loop() {
+		snapshot.New("ilo-1", example.DataCentre, c, a, v)
+	}
+}
+
+func BenchmarkChange(b *testing.B) {
+	c, _, _ := targetSize()
+	rank := resource.Rank{Name: example.Patient, Urgency: 2, Target: duration.Of(time.Second), QueueLimit: 1, Default: true}
+	b.ReportAllocs()
+	for b.Loop() {
+		next := c.With(rank).WithHomes()
+		if err := next.Check(); err != nil {
+			b.Fatal(err)
+		}
+		next.Accepted("id", "ops", time.Time{}, nil)
+	}
+}
+
+func BenchmarkPermitRound(b *testing.B) {
+	var held []permit.Permit
+	for i := range 20 {
+		held = append(held, permit.Permit{Server: fmt.Sprintf("%s-%d", example.Service, i)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		permit.Digest(held)
+	}
+}
--- a/core/measure/flood/fleet.go
+++ b/core/measure/flood/fleet.go
@@ -21,6 +21,9 @@
 	drain      = 4 * time.Second
 	retryPause = 5 * time.Millisecond
 	maxRetries = 5
+	shedTime   = 2 * time.Millisecond
+	// sendingHosts is the number of entry hosts of a data centre that send where every host sends.
+	sendingHosts = 4
 )
 
 // fleet is the stations of a deployment in one run.
@@ -54,8 +57,15 @@
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	f := &fleet{Timeline: timeline.New(start), deployment: d, policy: p, phase: ph, random: rand.New(rand.NewPCG(seed, 3)),
 		figures: map[string]*figures{}, tickets: map[uint64]sent{}}
+	senders := 1
+	if _, ok := p.(everyHostSends); ok {
+		senders = sendingHosts
+	}
 	for i := range d.servers {
-		f.stations = append(f.stations, newStation(fmt.Sprintf("%s-%d", d.name, i+1), d, p, start))
+		b := &backend{slots: d.slots}
+		for range senders {
+			f.stations = append(f.stations, newStation(fmt.Sprintf("%s-%d", d.name, i+1), d, p, b, start))
+		}
 	}
 	for _, r := range d.ranks {
 		f.figures[r.Name] = newFigures()
@@ -134,7 +144,15 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case effect.Run:
+			if s.backend.running >= s.backend.slots {
+				f.After(shedTime, func() {
+					f.perform(s, s.step(event.Finished{Server: s.name, Ticket: e.Ticket, Outcome: outcome.NotRun{Reason: "shed"}, Shed: true}, f.Now()))
+				})
+				continue
+			}
+			s.backend.running++
 			f.After(f.serviceTime(), func() {
+				s.backend.running--
 				var o outcome.Outcome = outcome.Answered{}
 				if s.isLost {
 					o = outcome.Unknown{Reason: "lost"}
@@ -194,13 +212,18 @@
 
 // loseServer takes one station out, as after a verdict.
 func (f *fleet) loseServer() {
-	s := f.stations[0]
-	s.isLost = true
-	f.perform(s, s.step(event.PermitChanged{Server: s.name, Permit: permit.Permit{}}, f.Now()))
-	for _, q := range s.line {
-		f.told(effect.Tell{Ticket: q.ticket, Outcome: outcome.NotRun{Moved: true}})
+	lost := f.stations[0].backend
+	for _, s := range f.stations {
+		if s.backend != lost {
+			continue
+		}
+		s.isLost = true
+		f.perform(s, s.step(event.PermitChanged{Server: s.name, Permit: permit.Permit{}}, f.Now()))
+		for _, q := range s.line {
+			f.told(effect.Tell{Ticket: q.ticket, Outcome: outcome.NotRun{Moved: true}})
+		}
+		s.line = nil
 	}
-	s.line = nil
 }
 
 func (f *fleet) rank(name string) resource.Rank {
--- a/core/measure/flood/flood.go
+++ b/core/measure/flood/flood.go
@@ -25,7 +25,7 @@
 func (f Flood) Run() any {
 	var runs []func() []result
 	for _, d := range deployments {
-		for _, p := range []policy{ranked{}, firstComeFirstServed{}, strictRanks{}, freeRetries{}} {
+		for _, p := range []policy{ranked{}, firstComeFirstServed{}, strictRanks{}, freeRetries{}, everyHostSends{}} {
 			for _, ph := range phases {
 				runs = append(runs, func() []result { return f.measure(d, p, ph) })
 			}
--- a/core/measure/flood/policy.go
+++ b/core/measure/flood/policy.go
@@ -1,7 +1,7 @@
 package flood
 
 // policy is a way to serve a backend server's requests. The variants are [ranked], [firstComeFirstServed],
-// [strictRanks] and [freeRetries].
+// [strictRanks], [freeRetries] and [everyHostSends].
 //
 //sumtype:decl
 type policy interface {
@@ -18,6 +18,8 @@
 		return "StrictRanks"
 	case freeRetries:
 		return "FreeRetries"
+	case everyHostSends:
+		return "EveryHostSends"
 	}
 	return ""
 }
--- a/core/measure/flood/station.go
+++ b/core/measure/flood/station.go
@@ -25,6 +25,7 @@
 	line    []queued
 	running int
 	isLost  bool
+	backend *backend
 }
 
 // queued is a request in a plain line.
@@ -33,9 +34,9 @@
 	request request.Request
 }
 
-func newStation(name string, d deployment, p policy, now time.Time) *station {
+func newStation(name string, d deployment, p policy, b *backend, now time.Time) *station {
 	ranks := d.ranks
-	s := &station{name: name, slots: d.slots}
+	s := &station{name: name, slots: d.slots, backend: b}
 	for _, r := range ranks {
 		s.limit += r.QueueLimit
 	}
@@ -45,9 +46,11 @@
 		return s
 	case strictRanks:
 		ranks = withoutFloors(ranks)
+	case everyHostSends:
+		s.slots = max(1, d.slots/sendingHosts)
 	case ranked, freeRetries:
 	}
-	server := resource.BackendServer{Name: name, Service: d.name, Slots: d.slots, Connections: 130}
+	server := resource.BackendServer{Name: name, Service: d.name, Slots: s.slots, Connections: 130}
 	service := resource.Service{Name: d.name, Slots: 1, MaxAttempt: millis(2000)}
 	s.steward = steward.New(server, service, ranks, timing.Default())
 	s.steward, _ = s.steward.Step(event.Assigned{Server: name, Assignment: assignment.Assignment{}.WithWrite(1, "")}, now)
--- /dev/null
+++ b/io/commandline/hopdeployment.go
@@ -0,0 +1,153 @@
+package commandline
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"redwingsill/core/configuration"
+	"redwingsill/core/duration"
+	"redwingsill/core/hostentry"
+	"redwingsill/core/resource"
+	"redwingsill/io/standin/monitor"
+	"redwingsill/io/standin/platform"
+	"redwingsill/io/standin/server"
+	"redwingsill/io/task"
+)
+
+// hopDeployment is three entry hosts of one data centre and one backend server.
+type hopDeployment struct {
+	callers   []string
+	operators []string
+	server    string
+}
+
+func startHopDeployment(tasks *task.Group) (*hopDeployment, error) {
+	addresses, err := freeAddresses(3 + 3*hopHosts)
+	if err != nil {
+		return nil, err
+	}
+	d := &hopDeployment{server: addresses[2]}
+	store := platform.New(time.Now)
+	var list []hostentry.HostEntry
+	var names []string
+	for i := range hopHosts {
+		name := fmt.Sprintf("ilo-%d", i+1)
+		names = append(names, name)
+		list = append(list, hostentry.HostEntry{Name: name, DataCentre: "ilo", Address: addresses[3+3*i]})
+	}
+	store.SetHosts(list)
+	backend := server.New("inventario-1", hopServerSlots, 1000, false, 0, 0, 1)
+	serving(tasks, addresses[0], &http.Server{Handler: store.Handler(), ReadHeaderTimeout: readHeaderTimeout})
+	serving(tasks, addresses[1], &http.Server{Handler: monitor.New().Handler(), ReadHeaderTimeout: readHeaderTimeout})
+	serving(tasks, addresses[2], backend.HTTP())
+	for i, name := range names {
+		s := entrySettings{name: name, dataCentre: "ilo", peerAddress: addresses[3+3*i], callerAddress: addresses[4+3*i],
+			operatorAddress: addresses[5+3*i], platform: "http://" + addresses[0], monitor: "http://" + addresses[1],
+			peerSecret: "a secret for measuring hops", operatorToken: hopToken, logLevel: "error"}
+		d.callers = append(d.callers, "http://"+s.callerAddress)
+		d.operators = append(d.operators, "http://"+s.operatorAddress)
+		tasks.Go(func(ctx context.Context) { _ = runEntry(ctx, s, io.Discard) })
+	}
+	return d, d.apply(names, addresses[2])
+}
+
+// apply declares the deployment.
+func (d *hopDeployment) apply(names []string, address string) error {
+	all := []resource.Resource{
+		resource.DataCentre{Name: "ilo", EntryHosts: names},
+		resource.Service{Name: "inventario", DividedByKey: true, Slots: 16, MaxBodyBytes: 1 << 16, MaxAttempt: duration.Of(time.Second)},
+		resource.BackendServer{Name: "inventario-1", Service: "inventario", DataCentre: "ilo", Address: address, Slots: hopServerSlots, Connections: 1000},
+		resource.Rank{Name: "stock", Target: duration.Of(time.Second), QueueLimit: 1000, Default: true},
+	}
+	text, err := configuration.FormatResources(all)
+	if err != nil {
+		return err
+	}
+	body := strings.Replace(string(text), `"Resources"`, `"ID":"hop","By":"measure","Declare"`, 1)
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		r, err := http.NewRequest(http.MethodPost, d.operators[0]+"/v1/changes", strings.NewReader(body))
+		if err != nil {
+			return err
+		}
+		r.Header.Set("Authorization", "Bearer "+hopToken)
+		response, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+			err = fmt.Errorf("the change was answered with status %d", response.StatusCode)
+		}
+		if time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// await waits until the key is served and returns the URL of its steward.
+func (d *hopDeployment) await() (string, error) {
+	for range 100 {
+		time.Sleep(100 * time.Millisecond)
+		var answer struct{ Steward string }
+		response, err := http.Get(d.operators[0] + "/v1/explain/keys/inventario/k")
+		if err != nil {
+			continue
+		}
+		err = json.NewDecoder(response.Body).Decode(&answer)
+		_ = response.Body.Close()
+		if err == nil && answer.Steward != "" && d.isServed() {
+			var n int
+			if _, err := fmt.Sscanf(answer.Steward, "ilo-%d", &n); err == nil {
+				return d.callers[n-1], nil
+			}
+		}
+	}
+	return "", fmt.Errorf("the key was not served within 10 s")
+}
+
+func (d *hopDeployment) isServed() bool {
+	for _, base := range d.callers {
+		response, err := http.Get(base + "/v1/services/inventario/keys/k")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+func serving(tasks *task.Group, address string, s *http.Server) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return
+	}
+	tasks.Go(func(context.Context) { _ = s.Serve(listener) })
+	tasks.Go(func(ctx context.Context) {
+		<-ctx.Done()
+		_ = s.Close()
+	})
+}
--- a/io/commandline/measure.go
+++ b/io/commandline/measure.go
@@ -22,6 +22,7 @@
 			measureOf("ownership", "the ownership of keys under faults, in virtual time", func(seed uint64) any { return ownership.New(seed).Run() }),
 			measureOf("capacity", "what control costs against the size of a cell; processor time and memory are this machine's",
 				func(seed uint64) any { return capacity.New(seed).Run() }),
+			hopCommand(),
 			measureOf("flood", "the service of each rank under floods, in virtual time", func(seed uint64) any { return flood.New(seed).Run() }),
 		},
 	}
