--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -88,6 +88,7 @@
 	isFenced   bool
 	listedAt   time.Time
 	heardAt    time.Time
+	verdictsAt time.Time
 	platformAt time.Time
 	retryAt    time.Time
 	// changed asks for a beat to all members at once, and urgent for their reports.
@@ -169,7 +170,7 @@
 	case event.HostsListed:
 		a = a.listed(e, now)
 	case event.VerdictsHeard:
-		a = a.heard(e)
+		a = a.heard(e, now)
 	case event.Ticked:
 		a, effects = a.tick(now)
 	case event.LeaveAsked:
--- a/core/arbiter/platform.go
+++ b/core/arbiter/platform.go
@@ -287,7 +287,8 @@
 	return a
 }
 
-func (a Arbiter) heard(e event.VerdictsHeard) Arbiter {
+func (a Arbiter) heard(e event.VerdictsHeard, now time.Time) Arbiter {
+	a.verdictsAt = now
 	down := map[string]bool{}
 	for _, name := range e.Down {
 		down[name] = true
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,59 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"redwingsill/core/assignment"
+	"redwingsill/core/configuration"
+	"redwingsill/core/event"
+	"redwingsill/core/member"
+	"redwingsill/core/message"
+	"redwingsill/core/stamp"
+	"redwingsill/core/timing"
+)
+
+func TestMember(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Member")
+}
+
+var _ = Describe("a member", func() {
+	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	heed := func(m member.Member, b message.Beat) member.Member {
+		b.Arbiter = "ilo-2"
+		m, _ = m.Step(event.Received{From: "ilo-2", Message: b}, start.Add(10*time.Second))
+		return m
+	}
+
+	It("never goes back to an older configuration or assignment", func() {
+		m := member.New("ilo-1", 1, timing.Default(), start)
+		m = heed(m, message.Beat{Term: 1, Stamp: stamp.Stamp{AssignmentTerm: 1, AssignmentVersion: 5},
+			Configuration: &configuration.Configuration{Revision: 7}, Assignment: &assignment.Assignment{Term: 1, Version: 5}})
+		m = heed(m, message.Beat{Term: 2, Stamp: stamp.Stamp{AssignmentTerm: 1, AssignmentVersion: 4},
+			Configuration: &configuration.Configuration{Revision: 6}, Assignment: &assignment.Assignment{Term: 1, Version: 4}})
+		Expect(m.Configuration().Revision).To(Equal(int64(7)))
+		Expect(m.Assignment().Version).To(Equal(int64(5)))
+	})
+
+	It("learns from an arbiter but promises nothing while it is silent", func() {
+		m := member.New("ilo-1", 1, timing.Default(), start)
+		m, effects := m.Step(event.Received{From: "ilo-2", Message: message.Beat{Term: 1, Arbiter: "ilo-2", Round: 1,
+			Configuration: &configuration.Configuration{Revision: 7}}}, start.Add(time.Second))
+		Expect(effects).To(BeEmpty())
+		Expect(m.Configuration().Revision).To(Equal(int64(7)))
+		Expect(m.Term()).To(BeZero())
+	})
+
+	It("refuses a candidate while its arbiter is alive, and tells the arbiter", func() {
+		m := heed(member.New("ilo-1", 1, timing.Default(), start), message.Beat{Term: 1, Round: 1})
+		m, effects := m.Step(event.Received{From: "ilo-3", Message: message.Follow{Term: 65, Candidate: "ilo-3"}}, start.Add(10200*time.Millisecond))
+		Expect(effects).To(HaveLen(1))
+		Expect(effects[0]).To(HaveField("Message", HaveField("Accepted", false)))
+		_, effects = m.Step(event.Ticked{}, start.Add(11*time.Second))
+		Expect(effects[0]).To(HaveField("Message", HaveField("Contender", int64(65))))
+	})
+})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -185,7 +185,9 @@
 					e.metrics.Server(server, l.Waiting, l.Running)
 				}
 			}
-			e.metrics.PeerBytes(e.peers.Bytes())
+			if n%int(figuresInterval/tickInterval) == 0 {
+				e.readFigures()
+			}
 		}
 	}
 }
--- /dev/null
+++ b/io/entry/figures.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"time"
+
+	"redwingsill/core/snapshot"
+)
+
+// figuresInterval is the time between two readings of the figures that are not counted as they happen.
+const figuresInterval = 500 * time.Millisecond
+
+// readFigures sets the figures that describe the host's state and, at the arbiter, that of its cell.
+func (e *Entry) readFigures() {
+	now := e.clock.Now()
+	c := e.Cell()
+	if at := c.Member().BeatAt(); !at.IsZero() {
+		e.metrics.Age("arbiter", now.Sub(at))
+	}
+	e.metrics.PeerBytes(e.peers.Bytes())
+	a, isArbiter := c.Arbiter()
+	if !isArbiter {
+		return
+	}
+	if at := a.PlatformAt(); !at.IsZero() {
+		e.metrics.Age("platform", now.Sub(at))
+	}
+	if at := a.VerdictsAt(); !at.IsZero() {
+		e.metrics.Age("monitor", now.Sub(at))
+	}
+	for service, ratio := range a.Imbalance(now) {
+		e.metrics.Imbalance(service, ratio)
+	}
+	for service, units := range unserved(e.snapshot.Read()) {
+		e.metrics.Unserved(service, units, figuresInterval)
+	}
+}
+
+// unserved counts the slots of each service at home here that have no owner or whose owner has no steward.
+func unserved(s *snapshot.Snapshot) map[string]int {
+	counts := map[string]int{}
+	for service, homes := range s.Configuration.Homes {
+		counts[service] = 0
+		for slot, home := range homes {
+			if home != s.DataCentre {
+				continue
+			}
+			server, _ := s.Assignment.OwnerOf(service, uint64(slot))
+			if server == "" || s.View.Stewards[server] == "" || s.View.Down[server] {
+				counts[service]++
+			}
+		}
+	}
+	return counts
+}
--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -24,6 +24,10 @@
 	servers   *prometheus.GaugeVec
 	moves     *prometheus.CounterVec
 	peerBytes *prometheus.GaugeVec
+	unserved  *prometheus.GaugeVec
+	lost      *prometheus.CounterVec
+	imbalance *prometheus.GaugeVec
+	ages      *prometheus.GaugeVec
 }
 
 // New returns figures that start at zero.
@@ -50,9 +54,17 @@
 			Help: "Units whose owner changed, by service."}, []string{"service"}),
 		peerBytes: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "redwingsill_peer_bytes_total",
 			Help: "Bytes between this host and other entry hosts by direction."}, []string{"direction"}),
+		unserved: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "redwingsill_unserved_units",
+			Help: "Units of this data centre without an owner or steward, at the arbiter, by service."}, []string{"service"}),
+		lost: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_unserved_unit_seconds_total",
+			Help: "Time during which units were unserved, added up over units, at the arbiter, by service."}, []string{"service"}),
+		imbalance: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "redwingsill_load_imbalance_ratio",
+			Help: "Rate of requests of the busiest backend server to the mean, at the arbiter, by service."}, []string{"service"}),
+		ages: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "redwingsill_age_seconds",
+			Help: "Time since the newest word of: arbiter, monitor, platform."}, []string{"of"}),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.platform, m.waiting, m.gauges, m.servers, m.moves,
-		m.peerBytes, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+		m.peerBytes, m.unserved, m.lost, m.imbalance, m.ages, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
@@ -96,3 +108,17 @@
 	m.peerBytes.WithLabelValues("sent").Set(float64(sent))
 	m.peerBytes.WithLabelValues("received").Set(float64(received))
 }
+
+// Unserved sets the units of a service that are not served, and counts the time that has passed so.
+func (m *Metrics) Unserved(service string, units int, passed time.Duration) {
+	m.unserved.WithLabelValues(service).Set(float64(units))
+	m.lost.WithLabelValues(service).Add(float64(units) * passed.Seconds())
+}
+
+// Imbalance sets the rate of the busiest backend server of a service to the mean.
+func (m *Metrics) Imbalance(service string, ratio float64) {
+	m.imbalance.WithLabelValues(service).Set(ratio)
+}
+
+// Age sets the time since the newest word of a source.
+func (m *Metrics) Age(of string, age time.Duration) { m.ages.WithLabelValues(of).Set(age.Seconds()) }
