--- /dev/null
+++ b/core/arbiter/facts.go
@@ -0,0 +1,61 @@
+package arbiter
+
+import (
+	"maps"
+	"time"
+
+	"redwingsill/core/event"
+	"redwingsill/core/hostentry"
+	"redwingsill/core/quorum"
+)
+
+func (a Arbiter) listed(e event.HostsListed, now time.Time) Arbiter {
+	hosts, leaving := map[string]hostentry.HostEntry{}, map[string]bool{}
+	for _, h := range e.Hosts {
+		if h.Address != "" {
+			hosts[h.Name] = h
+		}
+		if h.Leaving {
+			leaving[h.Name] = true
+		}
+	}
+	for name, p := range a.peers {
+		if p.report.Leaving {
+			leaving[name] = true
+		}
+	}
+	since := map[string]time.Time{}
+	for name := range leaving {
+		since[name] = now
+		if at, ok := a.leavingSince[name]; ok {
+			since[name] = at
+		}
+	}
+	a.leavingSince, a.leaving = since, leaving
+	if len(hosts) > 0 {
+		a.hosts = hosts
+	}
+	return a
+}
+
+func (a Arbiter) heard(e event.VerdictsHeard, now time.Time) Arbiter {
+	a.verdictsAt = now
+	down := map[string]bool{}
+	for _, name := range e.Down {
+		down[name] = true
+	}
+	if !maps.Equal(down, a.down) {
+		a.down = down
+	}
+	return a
+}
+
+// isHeardBy reports whether a majority has followed lately. Without one the lease is given up, so that another host may
+// try.
+func (a Arbiter) isHeardBy(now time.Time) bool {
+	return now.Sub(a.Since(now)) < 3*a.timing.Beat
+}
+
+func (a Arbiter) hasQuorum(members []string) bool {
+	return quorum.Quorums{}.With(members).Same(a.quorums)
+}
--- a/core/arbiter/platform.go
+++ b/core/arbiter/platform.go
@@ -1,7 +1,6 @@
 package arbiter
 
 import (
-	"bytes"
 	"encoding/json"
 	"maps"
 	"time"
@@ -10,11 +9,8 @@
 	"redwingsill/core/configuration"
 	"redwingsill/core/effect"
 	"redwingsill/core/event"
-	"redwingsill/core/hostentry"
 	"redwingsill/core/platformkey"
-	"redwingsill/core/quorum"
 	"redwingsill/core/stamp"
-	"redwingsill/core/termrecord"
 )
 
 // callPlatform makes the calls that are due.
@@ -152,40 +148,6 @@
 	return a
 }
 
-// rewriteTerm writes the members that are declared now into the record of the term: beside the old ones first, and
-// alone once a majority of both has followed since.
-func (a Arbiter) rewriteTerm(e event.KeyRead, now time.Time) (Arbiter, []effect.Effect) {
-	var record termrecord.TermRecord
-	desired := quorum.Quorums{}.With(a.entryHosts())
-	if err := json.Unmarshal(e.Value, &record); err != nil || len(a.entryHosts()) == 0 ||
-		record.Term > a.term || record.Term+termrecord.Block <= a.term {
-		return a, nil
-	}
-	switch {
-	case !record.Quorums.Newest().Same(desired):
-		record.Quorums = record.Quorums.With(desired[0])
-		a.quorums, a.jointAt = record.Quorums, now
-	case len(record.Quorums) == 1:
-		a.quorums = desired
-		return a, nil
-	case !record.Quorums.Same(a.quorums):
-		a.quorums, a.jointAt = record.Quorums, now
-		return a, nil
-	case !a.Since(now).After(a.jointAt):
-		return a, nil
-	default:
-		record.Quorums = desired
-	}
-	value, err := json.Marshal(record)
-	if err != nil {
-		panic(err)
-	}
-	a.sequence++
-	a.pending = maps.Clone(a.pending)
-	a.pending[a.sequence] = writeTerm
-	return a, []effect.Effect{effect.WriteKey{ID: a.sequence, Key: a.key(platformkey.Term), Value: value, Revision: e.Revision}}
-}
-
 func (a Arbiter) written(e event.KeyWritten, now time.Time) Arbiter {
 	p := a.pending[e.ID]
 	a = a.answered(e.ID)
@@ -204,26 +166,6 @@
 	return a
 }
 
-// withLease notes a renewal that took effect. The vote goes on only from one revision to the next.
-func (a Arbiter) withLease(revision int64, now time.Time) Arbiter {
-	a.leaseRevision, a.leaseAt = revision, now
-	a.hasVote = a.hasVote && !a.isCreating
-	if a.hasVote {
-		a.votedAt = a.leaseTriedAt
-	}
-	return a
-}
-
-// withLeaseRead resolves a renewal whose answer was lost: what this start of the host wrote is its own.
-func (a Arbiter) withLeaseRead(e event.KeyRead, now time.Time) Arbiter {
-	a.isLeaseUnsure = false
-	if e.Revision != 0 && bytes.Equal(e.Value, a.lease) {
-		return a.withLease(e.Revision, now)
-	}
-	a.leaseRevision, a.hasVote = 0, false
-	return a
-}
-
 // conflicted handles a write that lost. Whether it is this arbiter's own earlier write is for reading to tell.
 func (a Arbiter) conflicted(id int64, now time.Time) Arbiter {
 	p := a.pending[id]
@@ -258,61 +200,6 @@
 	return a
 }
 
-func (a Arbiter) listed(e event.HostsListed, now time.Time) Arbiter {
-	hosts, leaving := map[string]hostentry.HostEntry{}, map[string]bool{}
-	for _, h := range e.Hosts {
-		if h.Address != "" {
-			hosts[h.Name] = h
-		}
-		if h.Leaving {
-			leaving[h.Name] = true
-		}
-	}
-	for name, p := range a.peers {
-		if p.report.Leaving {
-			leaving[name] = true
-		}
-	}
-	since := map[string]time.Time{}
-	for name := range leaving {
-		since[name] = now
-		if at, ok := a.leavingSince[name]; ok {
-			since[name] = at
-		}
-	}
-	a.leavingSince, a.leaving = since, leaving
-	if len(hosts) > 0 {
-		a.hosts = hosts
-	}
-	return a
-}
-
-func (a Arbiter) heard(e event.VerdictsHeard, now time.Time) Arbiter {
-	a.verdictsAt = now
-	down := map[string]bool{}
-	for _, name := range e.Down {
-		down[name] = true
-	}
-	if !maps.Equal(down, a.down) {
-		a.down = down
-	}
-	return a
-}
-
-func (a Arbiter) hasQuorum(members []string) bool {
-	return quorum.Quorums{}.With(members).Same(a.quorums)
-}
-
-// isHeardBy reports whether a majority has followed lately. Without one the lease is given up, so that another host may
-// try.
-func (a Arbiter) isHeardBy(now time.Time) bool {
-	return now.Sub(a.Since(now)) < 3*a.timing.Beat
-}
-
-func (a Arbiter) hasLease(now time.Time) bool {
-	return a.leaseRevision != 0 && now.Sub(a.leaseAt) < a.timing.LeaseTTL
-}
-
 func (a Arbiter) isPending(p purpose) bool {
 	for _, q := range a.pending {
 		if p == q {
@@ -331,6 +218,4 @@
 	return a
 }
 
-func (a Arbiter) leaseKey() string { return a.key(platformkey.Lease) }
-
 func (a Arbiter) key(of func(string) platformkey.Key) string { return string(of(a.dataCentre)) }
--- a/core/candidate/candidate.go
+++ b/core/candidate/candidate.go
@@ -4,7 +4,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"time"
 
 	"redwingsill/core/effect"
@@ -16,7 +15,6 @@
 	"redwingsill/core/quorum"
 	"redwingsill/core/termrecord"
 	"redwingsill/core/timing"
-	"redwingsill/core/victory"
 )
 
 // Candidate is the state of the attempt. It is immutable.
@@ -68,48 +66,6 @@
 // Failures returns the number of calls to the platform that failed in a row.
 func (c Candidate) Failures() int { return c.failures }
 
-// Won returns what the candidate knows once a majority follows it. A majority that needs the platform's vote counts only
-// after a while, since the permits of earlier arbiters are known to end sooner where members alone suffice.
-func (c Candidate) Won(now time.Time) (victory.Victory, bool) {
-	members := func(name string) bool { return c.promises[name].message.Accepted }
-	voters := func(name string) bool { return members(name) || name == quorum.Platform && c.leaseRevision != 0 }
-	needsVote := !c.quorums.Has(members)
-	if c.term == 0 || !c.quorums.Has(voters) || needsVote && now.Sub(c.firstPromise()) < 2*c.timing.Stagger {
-		return victory.Victory{}, false
-	}
-	v := victory.Victory{Term: c.term, Quorums: c.quorums, LeaseRevision: c.leaseRevision,
-		Lease: c.lease, Since: c.since}
-	if c.leaseRevision != 0 {
-		v.LeaseSince = c.leaseAt
-	}
-	if needsVote && !c.isFirst {
-		v.PermitsEnd = c.takenAt.Add(c.timing.Permit + c.timing.Drift)
-	}
-	for _, name := range c.quorums.Members() {
-		p := c.promises[name]
-		if !p.message.Accepted {
-			continue
-		}
-		end := p.at.Add(-p.message.Quiet).Add(c.timing.Permit + c.timing.Drift)
-		if end.After(v.PermitsEnd) && !c.isFirst {
-			v.PermitsEnd = end
-		}
-		v.Followed = append(v.Followed, p.message)
-	}
-	return v, true
-}
-
-// firstPromise returns when the first promise came.
-func (c Candidate) firstPromise() time.Time {
-	var first time.Time
-	for _, p := range c.promises {
-		if first.IsZero() || p.at.Before(first) {
-			first = p.at
-		}
-	}
-	return first
-}
-
 // Step returns the candidate after an event, and what is to be done. The member is the same host's.
 func (c Candidate) Step(e event.Event, m member.Member, now time.Time) (Candidate, []effect.Effect) {
 	switch e := e.(type) {
@@ -159,44 +115,6 @@
 	}, now)
 }
 
-// turn returns how much longer this host waits than the first successor.
-func (c Candidate) turn(m member.Member) time.Duration {
-	names := m.Successors()
-	if len(names) == 0 {
-		names = m.Configuration().DataCentres[c.dataCentre].EntryHosts
-	}
-	return time.Duration(max(0, slices.Index(names, c.name))) * c.timing.Stagger
-}
-
-func (c Candidate) isMember(m member.Member) bool {
-	return slices.Contains(m.Configuration().DataCentres[c.dataCentre].EntryHosts, c.name)
-}
-
-// canSucceed reports whether the host may take a term that the last arbiter reserved for it: the arbiter is silent, and
-// so is the platform.
-func (c Candidate) canSucceed(m member.Member, now time.Time) bool {
-	place := slices.Index(m.Successors(), c.name)
-	wait := c.timing.Silence + time.Duration(place)*2*c.timing.Stagger
-	isOut := c.failures >= 1 || len(c.pending) > 0 && now.Sub(c.sentAt) > c.timing.Stagger
-	return place >= 0 && isOut && !m.IsSilent(now) && now.Sub(m.BeatAt()) > wait &&
-		m.Term() < c.reservedTerm(m, place)
-}
-
-// reservedTerm returns the term reserved for the place-th successor by the last record that the member knows of.
-func (c Candidate) reservedTerm(m member.Member, place int) int64 {
-	base := m.Term() - (m.Term()-1)%termrecord.Block
-	return base + 1 + int64(place)
-}
-
-// succeed asks for promises under a reserved term.
-func (c Candidate) succeed(m member.Member, now time.Time) (Candidate, []effect.Effect) {
-	c.term = c.reservedTerm(m, slices.Index(m.Successors(), c.name))
-	c.quorums, c.isFirst, c.since = m.Quorums(), false, now
-	c.leaseRevision = 0
-	c.promises = map[string]promise{}
-	return c.canvass(m, now)
-}
-
 // read handles the lease or the term as the platform has it.
 func (c Candidate) read(e event.KeyRead, m member.Member, now time.Time) (Candidate, []effect.Effect) {
 	p := c.pending[e.ID]
@@ -270,63 +188,6 @@
 	return c, nil
 }
 
-// canvass asks the members that have not answered, renews the lease meanwhile, and gives up in the end.
-func (c Candidate) canvass(m member.Member, now time.Time) (Candidate, []effect.Effect) {
-	if now.Sub(c.since) > c.timing.Permit || m.Term() > c.term {
-		return c.abandon(now)
-	}
-	var effects []effect.Effect
-	if c.leaseRevision != 0 && now.Sub(c.leaseAt) > c.timing.LeaseRenewal && len(c.pending) == 0 {
-		c, effects = c.call(renewLease, func(id int64) effect.Effect {
-			return effect.WriteKey{ID: id, Key: c.key(platformkey.Lease), Value: c.lease, Revision: c.leaseRevision,
-				TTL: c.timing.LeaseTTL}
-		}, now)
-	}
-	if now.Sub(c.askedAt) < c.timing.Beat/2 && !c.askedAt.IsZero() {
-		return c, effects
-	}
-	c.askedAt = now
-	for _, name := range c.quorums.Members() {
-		if !c.promises[name].message.Accepted {
-			effects = append(effects, effect.Send{To: name, Message: message.Follow{Term: c.term, Candidate: c.name,
-				Incarnation: c.incarnation, First: c.isFirst, Stamp: m.Stamp()}})
-		}
-	}
-	return c, effects
-}
-
-// count takes in a member's answer.
-func (c Candidate) count(f message.Followed, now time.Time) (Candidate, []effect.Effect) {
-	if c.term == 0 || f.Term != c.term {
-		return c, nil
-	}
-	if !f.Accepted && f.Highest > c.term {
-		return c.abandon(now)
-	}
-	promises := make(map[string]promise, len(c.promises)+1)
-	for name, p := range c.promises {
-		promises[name] = p
-	}
-	promises[f.Member] = promise{message: f, at: now}
-	c.promises = promises
-	if c.leaseRevision == 0 {
-		c.quorums = c.quorums.WithAll(f.Quorums)
-	}
-	return c, nil
-}
-
-// abandon gives the try up, and the lease with it.
-func (c Candidate) abandon(now time.Time) (Candidate, []effect.Effect) {
-	var effects []effect.Effect
-	if c.leaseRevision != 0 {
-		c.sequence++
-		effects = append(effects, effect.WriteKey{ID: c.sequence, Key: c.key(platformkey.Lease), Revision: c.leaseRevision})
-	}
-	c.term, c.leaseRevision, c.promises = 0, 0, map[string]promise{}
-	c.restAt = now.Add(c.timing.Silence)
-	return c, effects
-}
-
 func (c Candidate) rest(now time.Time) Candidate {
 	c.restAt = now.Add(c.timing.Stagger)
 	return c
--- a/core/drive/drive.go
+++ b/core/drive/drive.go
@@ -13,10 +13,11 @@
 	"redwingsill/core/event"
 	"redwingsill/core/host"
 	"redwingsill/core/hostentry"
-	"redwingsill/core/message"
+	"redwingsill/core/outcome"
 	"redwingsill/core/request"
 	"redwingsill/core/timeline"
 	"redwingsill/core/timing"
+	"redwingsill/core/usage"
 )
 
 const (
@@ -46,10 +47,10 @@
 	Double float64
 	ticket uint64
 	// Outcomes are what callers were told, by ticket.
-	Outcomes map[uint64]Told
+	Outcomes map[uint64]outcome.Outcome
 	// IsMetered turns the counting of messages, bytes and processor time on.
 	IsMetered bool
-	usage     map[string]Usage
+	usage     map[string]usage.Usage
 	wires     map[[2]string]*wire
 	// OnStep is called after each step of a host.
 	OnStep     func(name string)
@@ -63,7 +64,7 @@
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	d := &Drive{start: start, Timeline: timeline.New(start), random: rand.New(rand.NewPCG(seed, 7)), timing: t, dataCentre: dataCentre,
 		nodes: map[string]*node{}, servers: map[string]*server{}, leaving: map[string]bool{}, cuts: map[[2]string]bool{},
-		Outcomes: map[uint64]Told{}, running: map[string]occupancy{}, usage: map[string]Usage{}, wires: map[[2]string]*wire{}, OnStep: func(string) {}}
+		Outcomes: map[uint64]outcome.Outcome{}, running: map[string]occupancy{}, usage: map[string]usage.Usage{}, wires: map[[2]string]*wire{}, OnStep: func(string) {}}
 	d.platform = newPlatform(d)
 	d.platform.put(configurationKey, encode(c))
 	for _, name := range c.DataCentres[dataCentre].EntryHosts {
@@ -102,62 +103,6 @@
 	return holds()
 }
 
-// StartHost starts a host that is not running, without memory of an earlier start.
-func (d *Drive) StartHost(name string) {
-	drift := 1 + (d.random.Float64()-0.5)*0.006
-	n := &node{name: name, isAlive: true, drift: drift, startedAt: d.Now()}
-	n.host = host.New(name, d.dataCentre, d.Now().UnixNano(), d.timing, n.clock(d.Now()))
-	d.nodes[name] = n
-	d.tick(n, time.Duration(d.random.Int64N(int64(tickInterval))))
-}
-
-// KillHost stops a host at once.
-func (d *Drive) KillHost(name string) { d.nodes[name].isAlive = false }
-
-// PauseHost stops a host's process without its knowledge; ResumeHost lets it go on.
-func (d *Drive) PauseHost(name string) { d.nodes[name].isPaused = true }
-
-// ResumeHost lets a paused host go on. What arrived meanwhile is waiting for it.
-func (d *Drive) ResumeHost(name string) {
-	n := d.nodes[name]
-	n.isPaused = false
-	for _, e := range n.inbox {
-		d.step(n, e)
-	}
-	n.inbox = nil
-}
-
-// LeaveHost asks a host to stop in order.
-func (d *Drive) LeaveHost(name string) { d.deliver(name, 0, event.LeaveAsked{}) }
-
-// Cut cuts two hosts from each other, or heals the cut. The name "platform" stands for the platform.
-func (d *Drive) Cut(a, b string, isCut bool) {
-	d.cuts[[2]string{a, b}], d.cuts[[2]string{b, a}] = isCut, isCut
-}
-
-// SetPlatform switches the platform's faults: down refuses all calls, and loses drops the answers to writes.
-func (d *Drive) SetPlatform(down, loses bool) {
-	d.platform.isDown, d.platform.losesAnswers = down, loses
-}
-
-// SetDown sets the backend servers that the monitoring group declares down.
-func (d *Drive) SetDown(servers ...string) { d.down = servers }
-
-// SetLeaving lists a host or backend server as leaving.
-func (d *Drive) SetLeaving(name string, isLeaving bool) { d.leaving[name] = isLeaving }
-
-// FreezeServer freezes a backend server, or lets it go on as if nothing had happened.
-func (d *Drive) FreezeServer(name string, isFrozen bool) {
-	s := d.servers[name]
-	s.isFrozen = isFrozen
-	if !isFrozen {
-		for _, held := range s.held {
-			held()
-		}
-		s.held = nil
-	}
-}
-
 // Ask sends a caller's request to a host and returns its ticket.
 func (d *Drive) Ask(name string, r request.Request, patience time.Duration) uint64 {
 	d.ticket++
@@ -171,7 +116,7 @@
 func (d *Drive) Configure(c configuration.Configuration) { d.platform.put(configurationKey, encode(c)) }
 
 // Usage returns what a host has used since the last call.
-func (d *Drive) Usage(name string) Usage {
+func (d *Drive) Usage(name string) usage.Usage {
 	u := d.usage[name]
 	delete(d.usage, name)
 	return u
@@ -186,20 +131,6 @@
 	return r.value, r.revision
 }
 
-// deliver gives an event to a host after a delay, unless it is gone by then.
-func (d *Drive) deliver(name string, delay time.Duration, e event.Event) {
-	n := d.nodes[name]
-	d.After(delay, func() {
-		switch {
-		case !n.isAlive:
-		case n.isPaused:
-			n.inbox = append(n.inbox, e)
-		default:
-			d.step(n, e)
-		}
-	})
-}
-
 func (d *Drive) tick(n *node, delay time.Duration) {
 	d.After(delay, func() {
 		if !n.isAlive {
@@ -218,7 +149,7 @@
 	began := time.Now()
 	n.host, effects = n.host.Step(e, n.clock(d.Now()))
 	if d.IsMetered {
-		d.usage[n.name] = d.usage[n.name].withStep(time.Since(began))
+		d.usage[n.name] = d.usage[n.name].WithStep(time.Since(began))
 	}
 	d.OnStep(n.name)
 	for _, f := range effects {
@@ -244,65 +175,12 @@
 		d.servers[f.Server].run(d, n, f)
 	case effect.Abort:
 	case effect.Tell:
-		d.Outcomes[f.Ticket] = Told{Outcome: f.Outcome, At: d.Now()}
+		d.Outcomes[f.Ticket] = f.Outcome
 	default:
 		d.violate("effect %T left the host", e)
 	}
 }
 
-// send carries a message to another host, unless it is lost.
-func (d *Drive) send(from *node, f effect.Send) {
-	if d.IsMetered && isControl(f.Message) {
-		size := d.sizeOf(from.name, f)
-		d.usage[from.name] = d.usage[from.name].withSent(size)
-		d.usage[f.To] = d.usage[f.To].withReceived(size)
-	}
-	to, ok := d.nodes[f.To]
-	if !ok || d.cuts[[2]string{from.name, f.To}] || d.random.Float64() < d.Loss {
-		return
-	}
-	e := event.Received{From: from.name, Message: f.Message}
-	d.deliverTo(to, d.delay(), e)
-	if d.random.Float64() < d.Double {
-		d.deliverTo(to, d.delay()+time.Duration(d.random.Int64N(int64(200*time.Millisecond))), e)
-	}
-}
-
-// sizeOf returns the bytes that a message takes on its connection.
-func (d *Drive) sizeOf(from string, f effect.Send) int {
-	pair := [2]string{from, f.To}
-	if d.wires[pair] == nil {
-		d.wires[pair] = newWire()
-	}
-	return d.wires[pair].size(append([]byte(envelope), encode(f.Message)...))
-}
-
-func isControl(m message.Message) bool {
-	switch m.(type) {
-	case message.Ask, message.Told:
-		return false
-	default:
-		return true
-	}
-}
-
-// deliverTo gives an event to one start of a host.
-func (d *Drive) deliverTo(n *node, delay time.Duration, e event.Event) {
-	d.After(delay, func() {
-		switch {
-		case !n.isAlive:
-		case n.isPaused:
-			n.inbox = append(n.inbox, e)
-		default:
-			d.step(n, e)
-		}
-	})
-}
-
-func (d *Drive) delay() time.Duration {
-	return time.Millisecond + time.Duration(d.random.Int64N(int64(3*time.Millisecond)))
-}
-
 func (d *Drive) listed() []hostentry.HostEntry {
 	var all []hostentry.HostEntry
 	for _, name := range d.names {
--- a/core/drive/property_test.go
+++ b/core/drive/property_test.go
@@ -161,7 +161,7 @@
 	}
 	told := map[string]bool{}
 	for _, a := range sent {
-		_, notRun := d.Outcomes[a.ticket].Outcome.(outcome.NotRun)
+		_, notRun := d.Outcomes[a.ticket].(outcome.NotRun)
 		all, seen := told[a.id]
 		told[a.id] = notRun && (all || !seen)
 	}
--- /dev/null
+++ b/core/drive/wires.go
@@ -0,0 +1,76 @@
+package drive
+
+import (
+	"time"
+
+	"redwingsill/core/effect"
+	"redwingsill/core/event"
+	"redwingsill/core/message"
+)
+
+// send carries a message to another host, unless it is lost.
+func (d *Drive) send(from *node, f effect.Send) {
+	if d.IsMetered && isControl(f.Message) {
+		size := d.sizeOf(from.name, f)
+		d.usage[from.name] = d.usage[from.name].WithSent(size)
+		d.usage[f.To] = d.usage[f.To].WithReceived(size)
+	}
+	to, ok := d.nodes[f.To]
+	if !ok || d.cuts[[2]string{from.name, f.To}] || d.random.Float64() < d.Loss {
+		return
+	}
+	e := event.Received{From: from.name, Message: f.Message}
+	d.deliverTo(to, d.delay(), e)
+	if d.random.Float64() < d.Double {
+		d.deliverTo(to, d.delay()+time.Duration(d.random.Int64N(int64(200*time.Millisecond))), e)
+	}
+}
+
+// sizeOf returns the bytes that a message takes on its connection.
+func (d *Drive) sizeOf(from string, f effect.Send) int {
+	pair := [2]string{from, f.To}
+	if d.wires[pair] == nil {
+		d.wires[pair] = newWire()
+	}
+	return d.wires[pair].size(append([]byte(envelope), encode(f.Message)...))
+}
+
+func isControl(m message.Message) bool {
+	switch m.(type) {
+	case message.Ask, message.Told:
+		return false
+	default:
+		return true
+	}
+}
+
+func (d *Drive) delay() time.Duration {
+	return time.Millisecond + time.Duration(d.random.Int64N(int64(3*time.Millisecond)))
+}
+
+// deliver gives an event to a host after a delay, unless it is gone by then.
+func (d *Drive) deliver(name string, delay time.Duration, e event.Event) {
+	n := d.nodes[name]
+	d.After(delay, func() {
+		switch {
+		case !n.isAlive:
+		case n.isPaused:
+			n.inbox = append(n.inbox, e)
+		default:
+			d.step(n, e)
+		}
+	})
+}
+
+// deliverTo gives an event to one start of a host.
+func (d *Drive) deliverTo(n *node, delay time.Duration, e event.Event) {
+	d.After(delay, func() {
+		switch {
+		case !n.isAlive:
+		case n.isPaused:
+			n.inbox = append(n.inbox, e)
+		default:
+			d.step(n, e)
+		}
+	})
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -7,10 +7,3 @@
 type Event interface {
 	event()
 }
-
-// ServerEvent is an event that concerns the steward of one backend server.
-type ServerEvent interface {
-	Event
-	// ServerName returns the name of the backend server.
-	ServerName() string
-}
--- a/core/memory/entry.go
+++ b/core/idrecord/idrecord.go
@@ -1,4 +1,5 @@
-package memory
+// Package idrecord holds what is remembered of one request id.
+package idrecord
 
 import (
 	"time"
@@ -7,8 +8,8 @@
 	"redwingsill/core/unit"
 )
 
-// Entry is the kept outcome of one request id.
-type Entry struct {
+// IDRecord is the kept outcome of one request id.
+type IDRecord struct {
 	ID string
 	At time.Time
 	// Unit is the unit that the request belongs to.
@@ -18,11 +19,11 @@
 }
 
 // Outcome returns the outcome that a repeat of the request receives.
-func (e Entry) Outcome() outcome.Outcome {
-	if e.Answer == nil {
+func (r IDRecord) Outcome() outcome.Outcome {
+	if r.Answer == nil {
 		return outcome.Unknown{Reason: "an earlier run of this request id has no kept answer"}
 	}
-	kept := *e.Answer
+	kept := *r.Answer
 	kept.Kept = true
 	return kept
 }
--- a/core/queue/item.go
+++ b/core/item/item.go
@@ -1,4 +1,5 @@
-package queue
+// Package item holds a request that waits at a backend server.
+package item
 
 import (
 	"time"
@@ -14,6 +15,6 @@
 	Unit    unit.Unit
 	Rank    int
 	Arrived time.Time
-	// turn is the round among the callers in which the item is due; lower turns go first.
-	turn int
+	// Turn is the round among the callers in which the item is due; lower turns go first.
+	Turn int
 }
--- a/core/measure/flood/fleet.go
+++ b/core/measure/flood/fleet.go
@@ -44,15 +44,6 @@
 	countTo   time.Time
 }
 
-// sent is a request under way.
-type sent struct {
-	stream  stream
-	arrived time.Time
-	request request.Request
-	tries   int
-	counts  bool
-}
-
 func newFleet(d deployment, p policy, ph phase, seed uint64) *fleet {
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	f := &fleet{Timeline: timeline.New(start), deployment: d, policy: p, phase: ph, random: rand.New(rand.NewPCG(seed, 3)),
--- a/core/measure/flood/flood.go
+++ b/core/measure/flood/flood.go
@@ -15,12 +15,6 @@
 // New returns a measurement.
 func New(seed uint64) Flood { return Flood{seed: seed} }
 
-// Report is the figures, ready to be encoded.
-type report struct {
-	Seed    uint64
-	Results []result
-}
-
 // Run measures all deployments, policies and phases.
 func (f Flood) Run() any {
 	var runs []func() []result
--- a/core/measure/flood/station.go
+++ b/core/measure/flood/station.go
@@ -9,7 +9,6 @@
 	"redwingsill/core/grant"
 	"redwingsill/core/outcome"
 	"redwingsill/core/permit"
-	"redwingsill/core/request"
 	"redwingsill/core/resource"
 	"redwingsill/core/steward"
 	"redwingsill/core/timing"
@@ -28,12 +27,6 @@
 	backend *backend
 }
 
-// queued is a request in a plain line.
-type queued struct {
-	ticket  uint64
-	request request.Request
-}
-
 func newStation(name string, d deployment, p policy, b *backend, now time.Time) *station {
 	ranks := d.ranks
 	s := &station{name: name, slots: d.slots, backend: b}
--- a/core/measure/ownership/ownership.go
+++ b/core/measure/ownership/ownership.go
@@ -30,14 +30,6 @@
 // New returns a measurement.
 func New(seed uint64) Ownership { return Ownership{seed: seed} }
 
-// report is the figures, ready to be encoded.
-type report struct {
-	Seed   uint64
-	Faults []faultResult
-	Moves  []moveResult
-	Loads  []loadResult
-}
-
 // Run measures all faults, and moves and loads for all strategies.
 func (o Ownership) Run() any {
 	var runs []func() faultResult
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -4,7 +4,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"redwingsill/core/assignment"
@@ -16,7 +15,6 @@
 	"redwingsill/core/message"
 	"redwingsill/core/permit"
 	"redwingsill/core/quorum"
-	"redwingsill/core/release"
 	"redwingsill/core/stamp"
 	"redwingsill/core/timing"
 	"redwingsill/core/view"
@@ -104,20 +102,6 @@
 // BeatAt returns when the member last had word from its arbiter.
 func (m Member) BeatAt() time.Time { return m.beatAt }
 
-// IsSilent reports whether the member has started too lately to make promises.
-func (m Member) IsSilent(now time.Time) bool { return now.Before(m.silentUntil) }
-
-// Permits returns the permits that are valid at now, in the order of the servers' names.
-func (m Member) Permits(now time.Time) []permit.Permit {
-	var valid []permit.Permit
-	for _, server := range slices.Sorted(maps.Keys(m.permits)) {
-		if p := m.permits[server]; p.IsValid(now) {
-			valid = append(valid, p)
-		}
-	}
-	return valid
-}
-
 // Stamp returns the versions that the member holds.
 func (m Member) Stamp() stamp.Stamp {
 	return stamp.Stamp{
@@ -138,12 +122,6 @@
 	return m
 }
 
-// WithSilence returns the member as if it had just started: without promises that it may have outlived.
-func (m Member) WithSilence(now time.Time) Member {
-	m.silentUntil = now.Add(m.timing.Permit + m.timing.Drift)
-	return m
-}
-
 // Step returns the member after an event, and what is to be done.
 func (m Member) Step(e event.Event, now time.Time) (Member, []effect.Effect) {
 	switch e := e.(type) {
@@ -171,18 +149,6 @@
 	return m, nil
 }
 
-// WithHandover returns the member that waits for the heir's answer, and the message to it.
-func (m Member) WithHandover(e effect.HandOver, now time.Time) (Member, []effect.Effect) {
-	m.handovers = maps.Clone(m.handovers)
-	m.handovers[e.Release.ID] = handover{order: e.Release, sentAt: now}
-	if e.Release.All {
-		m = m.withoutPermit(e.Release.Server)
-	}
-	adopt := e.Adopt
-	adopt.From = m.name
-	return m, []effect.Effect{effect.Send{To: e.Release.Heir, Message: adopt}}
-}
-
 func (m Member) receive(e event.Received, now time.Time) (Member, []effect.Effect) {
 	switch msg := e.Message.(type) {
 	case message.Beat:
@@ -203,44 +169,6 @@
 	return m, nil
 }
 
-// follow promises to follow a candidate, or refuses.
-func (m Member) follow(f message.Follow, now time.Time) (Member, []effect.Effect) {
-	if m.IsSilent(now) && !f.First {
-		return m, nil
-	}
-	isSame := f.Term == m.term && f.Candidate == m.arbiter && f.Incarnation == m.arbiterIncarnation
-	hasArbiter := now.Sub(m.beatAt) < m.timing.Silence && m.arbiter != f.Candidate
-	reply := message.Followed{Term: f.Term, Member: m.name, Incarnation: m.incarnation, Highest: m.term}
-	if !isSame && (f.Term <= m.term || hasArbiter) {
-		if f.Term > m.term {
-			m.contender, m.contenderAt = f.Term, now
-		}
-		return m, []effect.Effect{effect.Send{To: f.Candidate, Message: reply}}
-	}
-	reply.Accepted, reply.Quorums = true, m.quorums
-	if !isSame {
-		m.quietSince = later(m.heardAt, m.startedAt)
-	}
-	if f.First {
-		m.silentUntil = m.startedAt
-	}
-	reply.Quiet = now.Sub(m.quietSince)
-	reply.Holdings = m.Permits(now)
-	m.term, m.arbiter, m.arbiterIncarnation, m.round = f.Term, f.Candidate, f.Incarnation, 0
-	m.wantsHoldings = true
-	own := m.Stamp()
-	if own.Configuration > f.Stamp.Configuration {
-		reply.Configuration = &m.configuration
-	}
-	if f.Stamp.HasOlderAssignment(own) {
-		reply.Assignment = &m.assignment
-	}
-	if f.Stamp.HasOlderView(own) {
-		reply.View = &m.view
-	}
-	return m, []effect.Effect{effect.Send{To: f.Candidate, Message: reply}}
-}
-
 // heed takes over an arbiter's word.
 func (m Member) heed(b message.Beat, now time.Time) (Member, []effect.Effect) {
 	isOwn := b.Term == m.term && b.Arbiter == m.arbiter && b.Incarnation == m.arbiterIncarnation
@@ -292,116 +220,3 @@
 	}
 	return m
 }
-
-// holdPermits renews the permits of a beat. They count from the report that the beat answers.
-func (m Member) holdPermits(b message.Beat, now time.Time) (Member, []effect.Effect) {
-	permits := b.Permits
-	if held := m.Permits(now); b.Renewal > 0 && permit.Digest(held) == b.Digest {
-		for _, p := range held {
-			p.Validity = b.Renewal
-			permits = append(permits, p)
-		}
-	}
-	var effects []effect.Effect
-	for _, p := range permits {
-		p = p.WithExpiry(b.Echo.Add(p.Validity))
-		if old := m.permits[p.Server]; m.gaveUp[p.Server].Compare(p.Grant) >= 0 || old.Grant.Compare(p.Grant) > 0 || !p.IsValid(now) ||
-			old.Grant == p.Grant && !p.Expiry.After(old.Expiry) {
-			continue
-		}
-		m.permits = maps.Clone(m.permits)
-		m.permits[p.Server] = p
-		effects = append(effects, effect.Instruct{Event: event.PermitChanged{Server: p.Server, Permit: p}})
-	}
-	return m, effects
-}
-
-// tick reports when a report is due, and ends handovers that nobody answered.
-func (m Member) tick(now time.Time) (Member, []effect.Effect) {
-	var effects []effect.Effect
-	for _, id := range slices.Sorted(maps.Keys(m.handovers)) {
-		if h := m.handovers[id]; now.Sub(h.sentAt) > m.timing.Silence {
-			var more []effect.Effect
-			m, more = m.endHandover(h, false)
-			effects = append(effects, more...)
-		}
-	}
-	if now.Sub(m.reportedAt) < m.timing.Beat {
-		return m, effects
-	}
-	m, more := m.report(now)
-	return m, append(effects, more...)
-}
-
-// report sends the arbiter the member's word.
-func (m Member) report(now time.Time) (Member, []effect.Effect) {
-	if m.arbiter == "" || m.round == 0 {
-		return m, nil
-	}
-	m.reportedAt = now
-	r := message.Report{
-		Term:        m.term,
-		Member:      m.name,
-		Incarnation: m.incarnation,
-		Round:       m.round,
-		SentAt:      now,
-		Stamp:       m.Stamp(),
-		Digest:      permit.Digest(m.Permits(now)),
-		Released:    slices.Sorted(maps.Keys(m.released)),
-		Adopted:     slices.Sorted(maps.Keys(m.adopted)),
-		Leaving:     m.leaving,
-	}
-	if m.wantsHoldings {
-		r.Holdings, r.HasHoldings = m.Permits(now), true
-	}
-	if now.Sub(m.contenderAt) < 2*m.timing.Silence {
-		r.Contender = m.contender
-	}
-	for _, server := range slices.Sorted(maps.Keys(m.heats)) {
-		r.Heats = append(r.Heats, m.heats[server]...)
-	}
-	return m, []effect.Effect{effect.Send{To: m.arbiter, Message: r}}
-}
-
-func (m Member) endHandover(h handover, adopted bool) (Member, []effect.Effect) {
-	m.handovers = maps.Clone(m.handovers)
-	delete(m.handovers, h.order.ID)
-	return m, []effect.Effect{effect.Inform{Event: event.Released{Release: h.order, Adopted: adopted}}}
-}
-
-// withoutPermit returns the member that has given a backend server up and takes no older permit for it again.
-func (m Member) withoutPermit(server string) Member {
-	held, ok := m.permits[server]
-	if !ok {
-		return m
-	}
-	m.gaveUp = maps.Clone(m.gaveUp)
-	m.gaveUp[server] = held.Grant
-	m.permits = maps.Clone(m.permits)
-	delete(m.permits, server)
-	return m
-}
-
-func with(m map[int64]bool, id int64) map[int64]bool {
-	next := maps.Clone(m)
-	next[id] = true
-	return next
-}
-
-// onlyAsked returns the ids that are still asked for.
-func onlyAsked(m map[int64]bool, orders []release.Release) map[int64]bool {
-	next := map[int64]bool{}
-	for _, r := range orders {
-		if m[r.ID] {
-			next[r.ID] = true
-		}
-	}
-	return next
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -6,6 +6,7 @@
 
 	"github.com/benbjohnson/immutable"
 
+	"redwingsill/core/idrecord"
 	"redwingsill/core/outcome"
 	"redwingsill/core/unit"
 )
@@ -16,7 +17,7 @@
 // Memory is the request ids that one steward has run, oldest first. It is immutable. It never forgets an id before
 // its retention has passed: when it is full it takes no new ids.
 type Memory struct {
-	entries   *immutable.Map[string, Entry]
+	entries   *immutable.Map[string, idrecord.IDRecord]
 	order     *immutable.List[string]
 	limit     int
 	retention time.Duration
@@ -29,7 +30,7 @@
 // elsewhere. The clock in an id may run ahead of the time at which it is run by the skew, and no further.
 func New(limit int, retention, skew time.Duration, cutoff time.Time) Memory {
 	return Memory{
-		entries:   immutable.NewMap[string, Entry](nil),
+		entries:   immutable.NewMap[string, idrecord.IDRecord](nil),
 		order:     immutable.NewList[string](),
 		limit:     limit,
 		retention: retention,
@@ -57,7 +58,7 @@
 }
 
 // Find returns the entry of an id.
-func (m Memory) Find(id string) (Entry, bool) { return m.entries.Get(id) }
+func (m Memory) Find(id string) (idrecord.IDRecord, bool) { return m.entries.Get(id) }
 
 // MayHaveRun reports whether an id that is not in the memory may have run all the same: elsewhere, or so long ago that
 // it was forgotten.
@@ -74,7 +75,7 @@
 
 // With returns the memory with an id begun at a time. Its outcome is Unknown until [Memory.WithOutcome].
 func (m Memory) With(id string, u unit.Unit, at time.Time) Memory {
-	m.entries = m.entries.Set(id, Entry{ID: id, At: at, Unit: u})
+	m.entries = m.entries.Set(id, idrecord.IDRecord{ID: id, At: at, Unit: u})
 	m.order = m.order.Append(id)
 	return m
 }
@@ -99,7 +100,7 @@
 }
 
 // WithEntries returns the memory with the entries that another steward handed over. Its cutoff does not fall.
-func (m Memory) WithEntries(entries []Entry, cutoff time.Time) Memory {
+func (m Memory) WithEntries(entries []idrecord.IDRecord, cutoff time.Time) Memory {
 	for _, e := range entries {
 		if _, ok := m.entries.Get(e.ID); !ok {
 			m.order = m.order.Append(e.ID)
@@ -138,7 +139,7 @@
 }
 
 // Entries returns the entries of the units, or of all where none is given.
-func (m Memory) Entries(units []unit.Unit) []Entry {
+func (m Memory) Entries(units []unit.Unit) []idrecord.IDRecord {
 	wanted := map[unit.Unit]bool{}
 	for _, u := range units {
 		wanted[u] = true
@@ -146,7 +147,7 @@
 	isWanted := func(u unit.Unit) bool {
 		return len(units) == 0 || wanted[u] || wanted[unit.Unit{Service: u.Service, Slot: u.Slot}]
 	}
-	var found []Entry
+	var found []idrecord.IDRecord
 	for itr := m.order.Iterator(); !itr.Done(); {
 		_, id := itr.Next()
 		if e, ok := m.entries.Get(id); ok && isWanted(e.Unit) {
--- a/core/message/adopt.go
+++ b/core/message/adopt.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"redwingsill/core/grant"
-	"redwingsill/core/memory"
+	"redwingsill/core/idrecord"
 	"redwingsill/core/unit"
 )
 
@@ -18,8 +18,8 @@
 	Origin grant.Grant `json:",omitzero"`
 	Units  []unit.Unit `json:",omitempty"`
 	// Owned are the units whose request ids the entries cover where the whole server changes its steward.
-	Owned   []unit.Unit    `json:",omitempty"`
-	Entries []memory.Entry `json:",omitempty"`
+	Owned   []unit.Unit         `json:",omitempty"`
+	Entries []idrecord.IDRecord `json:",omitempty"`
 	// Cutoff is the time before which ids may be missing from the entries.
 	Cutoff time.Time
 }
--- a/core/queue/lane.go
+++ b/core/queue/lane.go
@@ -5,6 +5,7 @@
 
 	"github.com/benbjohnson/immutable"
 
+	"redwingsill/core/item"
 	"redwingsill/core/resource"
 )
 
@@ -18,7 +19,7 @@
 // lane is the waiting requests of one rank.
 type lane struct {
 	rank    resource.Rank
-	items   *immutable.SortedMap[place, Item]
+	items   *immutable.SortedMap[place, item.Item]
 	callers *immutable.Map[string, turns]
 	// turn is the turn of the newest request that was started.
 	turn int
@@ -32,16 +33,16 @@
 func newLane(r resource.Rank) lane {
 	return lane{
 		rank:    r,
-		items:   immutable.NewSortedMap[place, Item](comparer{}),
+		items:   immutable.NewSortedMap[place, item.Item](comparer{}),
 		callers: immutable.NewMap[string, turns](nil),
 	}
 }
 
-func (l lane) with(i Item) lane {
+func (l lane) with(i item.Item) lane {
 	t := l.next(i.Request.Caller)
-	i.turn = t.turn()
+	i.Turn = t.turn()
 	if l.items.Len() == 0 {
-		l = l.started(i.turn)
+		l = l.started(i.Turn)
 	}
 	l.items = l.items.Set(placeOf(i), i)
 	l.callers = l.callers.Set(i.Request.Caller, t)
@@ -62,7 +63,7 @@
 	return (l.next(caller).turn() - l.turn) * l.callers.Len() * callerShare
 }
 
-func (l lane) without(i Item) lane {
+func (l lane) without(i item.Item) lane {
 	if _, ok := l.items.Get(placeOf(i)); !ok {
 		return l
 	}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"redwingsill/core/item"
 	"redwingsill/core/resource"
 )
 
@@ -54,20 +55,20 @@
 }
 
 // With returns the queue with one more item, and the item as it stands in it.
-func (q Queue) With(i Item, now time.Time) (Queue, Item) {
+func (q Queue) With(i item.Item, now time.Time) (Queue, item.Item) {
 	n := q.index(i.Request.Rank)
 	if n < 0 {
 		return q, i
 	}
 	i.Rank = n
-	i.turn = q.lanes[n].next(i.Request.Caller).turn()
+	i.Turn = q.lanes[n].next(i.Request.Caller).turn()
 	q = q.withLane(n, q.lanes[n].with(i).withArrival(now))
 	q.size++
 	return q, i
 }
 
 // Without returns the queue without an item that [Queue.With] or [Queue.Next] returned.
-func (q Queue) Without(i Item) Queue {
+func (q Queue) Without(i item.Item) Queue {
 	before := q.lanes[i.Rank].items.Len()
 	q = q.withLane(i.Rank, q.lanes[i.Rank].without(i))
 	q.size += q.lanes[i.Rank].items.Len() - before
@@ -75,9 +76,9 @@
 }
 
 // WithRanks returns the queue for other ranks. Requests of ranks that are gone are returned.
-func (q Queue) WithRanks(ranks []resource.Rank, now time.Time) (Queue, []Item) {
+func (q Queue) WithRanks(ranks []resource.Rank, now time.Time) (Queue, []item.Item) {
 	next := New(ranks)
-	var dropped []Item
+	var dropped []item.Item
 	for _, i := range q.Items() {
 		if next.HasRank(i.Request.Rank) {
 			next, _ = next.With(i, now)
@@ -89,8 +90,8 @@
 }
 
 // Items returns all waiting requests, the most urgent ranks first.
-func (q Queue) Items() []Item {
-	var all []Item
+func (q Queue) Items() []item.Item {
+	var all []item.Item
 	for _, l := range q.lanes {
 		for itr := l.items.Iterator(); !itr.Done(); {
 			_, i, _ := itr.Next()
@@ -102,8 +103,8 @@
 
 // Next returns the item to run next, and the queue charged for it. Within a rank the first item that isPreferred
 // accepts goes before all others. The item stays in the queue until [Queue.Without].
-func (q Queue) Next(isPreferred func(Item) bool) (Item, Queue, bool) {
-	heads := make([]*Item, len(q.lanes))
+func (q Queue) Next(isPreferred func(item.Item) bool) (item.Item, Queue, bool) {
+	heads := make([]*item.Item, len(q.lanes))
 	first := -1
 	for n, l := range q.lanes {
 		heads[n] = l.head(isPreferred)
@@ -112,7 +113,7 @@
 		}
 	}
 	if first < 0 {
-		return Item{}, q, false
+		return item.Item{}, q, false
 	}
 	chosen := first
 	for n := first + 1; n < len(q.lanes); n++ {
@@ -122,7 +123,7 @@
 		}
 	}
 	q = q.charged(chosen, heads)
-	q.lanes[chosen] = q.lanes[chosen].started(heads[chosen].turn)
+	q.lanes[chosen] = q.lanes[chosen].started(heads[chosen].Turn)
 	return *heads[chosen], q, true
 }
 
@@ -152,7 +153,7 @@
 
 // charged returns the queue after a dispatch of the chosen lane: each lane that waits earns its floor, and the chosen
 // one pays.
-func (q Queue) charged(chosen int, heads []*Item) Queue {
+func (q Queue) charged(chosen int, heads []*item.Item) Queue {
 	lanes := slices.Clone(q.lanes)
 	for n := range lanes {
 		if heads[n] != nil {
@@ -181,8 +182,8 @@
 }
 
 // head returns the first preferred item of the lane, else the first of all, else nil.
-func (l lane) head(isPreferred func(Item) bool) *Item {
-	var first *Item
+func (l lane) head(isPreferred func(item.Item) bool) *item.Item {
+	var first *item.Item
 	for itr := l.items.Iterator(); !itr.Done(); {
 		_, i, _ := itr.Next()
 		if isPreferred(i) {
--- a/core/steward/permits.go
+++ b/core/steward/permits.go
@@ -7,11 +7,11 @@
 
 	"redwingsill/core/effect"
 	"redwingsill/core/event"
+	"redwingsill/core/item"
 	"redwingsill/core/memory"
 	"redwingsill/core/message"
 	"redwingsill/core/outcome"
 	"redwingsill/core/permit"
-	"redwingsill/core/queue"
 	"redwingsill/core/unit"
 )
 
@@ -19,7 +19,7 @@
 func (s Steward) changePermit(next permit.Permit, now time.Time) (Steward, []effect.Effect) {
 	if next.Grant.IsZero() {
 		s.permit = s.permit.WithExpiry(time.Time{})
-		return s.refuseQueued(func(queue.Item) bool { return true }, now)
+		return s.refuseQueued(func(item.Item) bool { return true }, now)
 	}
 	if next.Grant.Compare(s.permit.Grant) < 0 || next.Grant == s.permit.Grant && s.hasGivenUp() {
 		return s, nil
@@ -88,7 +88,7 @@
 	}
 	s.adoptions = withoutUnits(s.adoptions)
 	s.assignment = next
-	return s.refuseQueued(func(i queue.Item) bool {
+	return s.refuseQueued(func(i item.Item) bool {
 		hash := i.Request.Hash()
 		return hash != 0 && next.OwnerOfUnit(next.UnitOf(i.Request.Service, hash)) != s.server.Name
 	}, now)
@@ -116,7 +116,7 @@
 }
 
 // refuseQueued tells all waiting requests that match that they did not run.
-func (s Steward) refuseQueued(matches func(queue.Item) bool, now time.Time) (Steward, []effect.Effect) {
+func (s Steward) refuseQueued(matches func(item.Item) bool, now time.Time) (Steward, []effect.Effect) {
 	var effects []effect.Effect
 	for _, i := range s.queue.Items() {
 		if matches(i) {
--- a/core/steward/releases.go
+++ b/core/steward/releases.go
@@ -6,8 +6,8 @@
 
 	"redwingsill/core/effect"
 	"redwingsill/core/event"
+	"redwingsill/core/item"
 	"redwingsill/core/message"
-	"redwingsill/core/queue"
 	"redwingsill/core/release"
 	"redwingsill/core/unit"
 )
@@ -23,7 +23,7 @@
 	}
 	s.releases = maps.Clone(s.releases)
 	s.releases[order.ID] = releasing{order: order}
-	return s.refuseQueued(func(i queue.Item) bool { return s.covers(order, i) }, now)
+	return s.refuseQueued(func(i item.Item) bool { return s.covers(order, i) }, now)
 }
 
 // finishReleases hands over what no running request holds back any more.
@@ -93,7 +93,7 @@
 	return false
 }
 
-func (s Steward) covers(order release.Release, i queue.Item) bool {
+func (s Steward) covers(order release.Release, i item.Item) bool {
 	hash := i.Request.Hash()
 	return order.All || hash != 0 && coversHash(order, hash, s.unitOf(i.Request.Service, hash))
 }
--- a/core/steward/running.go
+++ b/core/steward/running.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"redwingsill/core/queue"
+	"redwingsill/core/item"
 )
 
 // running is an attempt on the backend server.
 type running struct {
-	item      queue.Item
+	item      item.Item
 	startedAt time.Time
 	// deadline is when the server must have stopped, by its own clock.
 	deadline time.Time
--- a/core/steward/steward_test.go
+++ b/core/steward/steward_test.go
@@ -13,7 +13,7 @@
 	"redwingsill/core/effect"
 	"redwingsill/core/event"
 	"redwingsill/core/grant"
-	"redwingsill/core/memory"
+	"redwingsill/core/idrecord"
 	"redwingsill/core/message"
 	"redwingsill/core/outcome"
 	"redwingsill/core/permit"
@@ -316,7 +316,7 @@
 		b.pass(time.Second)
 		u := unit.Unit{Service: service, Slot: int(unit.Hash("k") % 4)}
 		b.step(event.MemoryAdopted{Adopt: message.Adopt{ReleaseID: 8, Server: server, Origin: origin,
-			Entries: []memory.Entry{{ID: "id-1", At: b.now, Unit: u, Answer: &answered}}, Owned: owned(1, server).UnitsOf(server)}})
+			Entries: []idrecord.IDRecord{{ID: "id-1", At: b.now, Unit: u, Answer: &answered}}, Owned: owned(1, server).UnitsOf(server)}})
 		g := grant.Grant{Term: 1, Generation: 3}
 		b.step(event.PermitChanged{Server: server, Permit: permit.Permit{Server: server, Grant: g, Origin: origin}.WithExpiry(b.now.Add(permits))})
 		ticket := b.submit(request.Request{ID: "id-1", Key: "k", IssuedAt: b.now.Add(-time.Millisecond)}, time.Second)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -28,13 +28,6 @@
 	maxAhead     = time.Second
 )
 
-// server is what the front end needs of an entry host.
-type server interface {
-	Now() time.Time
-	Snapshot() *snapshot.Snapshot
-	Serve(ctx context.Context, r request.Request) outcome.Outcome
-}
-
 // Caller turns HTTP requests of callers into requests of the decisions, and outcomes into HTTP responses.
 type Caller struct {
 	server server
--- a/io/commandline/apply.go
+++ b/io/commandline/apply.go
@@ -13,7 +13,7 @@
 
 	"redwingsill/core/configuration"
 	"redwingsill/core/kind"
-	"redwingsill/io/operator"
+	"redwingsill/io/submission"
 )
 
 func applyCommand() *cli.Command {
@@ -74,8 +74,8 @@
 	return err
 }
 
-func submissionOf(c *cli.Command) (operator.Submission, error) {
-	s := operator.Submission{ID: c.String("change"), By: "unknown", ExpectedRevision: c.Int64("expected-revision"), DryRun: c.Bool("dry-run")}
+func submissionOf(c *cli.Command) (submission.Submission, error) {
+	s := submission.Submission{ID: c.String("change"), By: "unknown", ExpectedRevision: c.Int64("expected-revision"), DryRun: c.Bool("dry-run")}
 	if s.ID == "" {
 		s.ID = uuid.Must(uuid.NewV7()).String()
 	}
--- a/io/commandline/deployment_test.go
+++ b/io/commandline/deployment_test.go
@@ -22,7 +22,7 @@
 	"redwingsill/core/configuration"
 	"redwingsill/core/hostentry"
 	"redwingsill/core/resource"
-	"redwingsill/io/standin/server"
+	"redwingsill/io/standin/run"
 )
 
 const (
@@ -210,12 +210,12 @@
 }
 
 // runs returns what the backend servers ran, by request id.
-func (d *deployment) runs() map[string][]server.Run {
-	byID := map[string][]server.Run{}
+func (d *deployment) runs() map[string][]run.Run {
+	byID := map[string][]run.Run{}
 	for _, address := range d.addresses {
 		response, err := http.Get("http://" + address + "/admin/runs")
 		Expect(err).NotTo(HaveOccurred())
-		var some []server.Run
+		var some []run.Run
 		Expect(json.NewDecoder(response.Body).Decode(&some)).To(Succeed())
 		_ = response.Body.Close()
 		for _, r := range some {
--- a/io/commandline/entry.go
+++ b/io/commandline/entry.go
@@ -20,6 +20,7 @@
 	"redwingsill/io/caller"
 	"redwingsill/io/clock"
 	"redwingsill/io/entry"
+	"redwingsill/io/identity"
 	"redwingsill/io/keys"
 	"redwingsill/io/metrics"
 	"redwingsill/io/monitor"
@@ -73,8 +74,8 @@
 	defer closeVerdicts()
 	figures := metrics.New()
 	ticking := clock.New()
-	e := entry.New(entry.Settings{Name: s.name, DataCentre: s.dataCentre, Incarnation: ticking.Now().UnixNano(),
-		Timing: timing.Default()}, ticking, store, verdicts, figures, tracer, log)
+	e := entry.New(identity.Identity{Name: s.name, DataCentre: s.dataCentre, Incarnation: ticking.Now().UnixNano()},
+		timing.Default(), ticking, store, verdicts, figures, tracer, log)
 
 	background := context.WithoutCancel(ctx)
 	listener, err := net.Listen("tcp", s.peerAddress)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -16,7 +16,9 @@
 	"redwingsill/core/rcu"
 	"redwingsill/core/snapshot"
 	"redwingsill/core/steward"
+	"redwingsill/core/timing"
 	"redwingsill/io/clock"
+	"redwingsill/io/identity"
 	"redwingsill/io/metrics"
 	"redwingsill/io/monitor"
 	"redwingsill/io/peer"
@@ -35,7 +37,8 @@
 
 // Entry is a running entry host. Its methods may be called at the same time.
 type Entry struct {
-	settings Settings
+	identity identity.Identity
+	timing   timing.Timing
 	clock    clock.Clock
 	platform *platform.Platform
 	monitor  *monitor.Monitor
@@ -58,12 +61,12 @@
 }
 
 // New returns a host that does nothing until [Entry.Start].
-func New(s Settings, c clock.Clock, p *platform.Platform, m *monitor.Monitor, figures *metrics.Metrics,
+func New(who identity.Identity, t timing.Timing, c clock.Clock, p *platform.Platform, m *monitor.Monitor, figures *metrics.Metrics,
 	tracer *trace.Tracer, log *slog.Logger) *Entry {
 	return &Entry{
-		settings: s, clock: c, platform: p, monitor: m, metrics: figures, tracer: tracer, log: log,
+		identity: who, timing: t, clock: c, platform: p, monitor: m, metrics: figures, tracer: tracer, log: log,
 		inbox:    make(chan input, inboxSize),
-		cell:     rcu.New(cell.New(s.Name, s.DataCentre, s.Incarnation, s.Timing, c.Now())),
+		cell:     rcu.New(cell.New(who.Name, who.DataCentre, who.Incarnation, t, c.Now())),
 		snapshot: rcu.New(snapshot.Snapshot{}),
 		gateway:  rcu.New(gateway.New()),
 		posts:    rcu.New(map[string]*post{}),
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -69,7 +69,7 @@
 		e.setLoad(told)
 		return told
 	case route.Nowhere:
-		return message.Told{Outcome: outcome.NotRun{Reason: to.Reason, RetryAfter: e.settings.Timing.Beat, Moved: true}}
+		return message.Told{Outcome: outcome.NotRun{Reason: to.Reason, RetryAfter: e.timing.Beat, Moved: true}}
 	}
 	return message.Told{Outcome: outcome.NotRun{Reason: "no route"}}
 }
@@ -99,7 +99,7 @@
 }
 
 func (e *Entry) toldOf(t effect.Tell) message.Told {
-	told := message.Told{Ticket: t.Ticket, Outcome: t.Outcome, Load: t.Load, Steward: e.settings.Name}
+	told := message.Told{Ticket: t.Ticket, Outcome: t.Outcome, Load: t.Load, Steward: e.identity.Name}
 	e.setLoad(told)
 	return told
 }
--- a/io/operator/answers.go
+++ b/io/operator/answers.go
@@ -10,6 +10,7 @@
 	"redwingsill/core/configuration"
 	"redwingsill/core/kind"
 	"redwingsill/core/problem"
+	"redwingsill/io/submission"
 )
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
@@ -33,11 +34,14 @@
 	var wrong *configuration.Error
 	var conflict *change.Error
 	var failed *Error
+	var unread *submission.Error
 	switch {
 	case errors.As(err, &wrong):
 		writeError(w, http.StatusBadRequest, "Resources", err.Error(), wrong.Problems)
 	case errors.As(err, &conflict):
 		writeError(w, http.StatusConflict, "ExpectedRevision", err.Error(), nil)
+	case errors.As(err, &unread):
+		writeError(w, http.StatusBadRequest, "body", err.Error(), nil)
 	case errors.As(err, &failed):
 		writeError(w, statusOf(failed.Kind), "", err.Error(), nil)
 	default:
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -12,13 +12,11 @@
 
 	"github.com/gorilla/mux"
 
-	"redwingsill/core/cell"
 	"redwingsill/core/change"
 	"redwingsill/core/configuration"
 	"redwingsill/core/kind"
 	"redwingsill/core/platformkey"
-	"redwingsill/core/snapshot"
-	"redwingsill/core/steward"
+	"redwingsill/io/submission"
 )
 
 const (
@@ -26,20 +24,6 @@
 	maxWatch  = 30 * time.Second
 )
 
-// host is what the front end needs of an entry host.
-type host interface {
-	Now() time.Time
-	Snapshot() *snapshot.Snapshot
-	Cell() cell.Cell
-	Steward(server string) (steward.Steward, bool)
-}
-
-// store is what the front end needs of the platform's service.
-type store interface {
-	Read(ctx context.Context, key string, after int64) ([]byte, int64, error)
-	Write(ctx context.Context, key string, value []byte, revision int64, ttl time.Duration) (int64, error)
-}
-
 // Operator serves operators' requests.
 type Operator struct {
 	host  host
@@ -92,12 +76,12 @@
 		writeError(w, http.StatusRequestEntityTooLarge, "body", err.Error(), nil)
 		return
 	}
-	var s Submission
+	var s submission.Submission
 	if err := json.Unmarshal(text, &s); err != nil {
 		writeError(w, http.StatusBadRequest, "body", err.Error(), nil)
 		return
 	}
-	c, err := s.change()
+	c, err := s.Change()
 	if err != nil {
 		writeFailure(w, err)
 		return
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -96,9 +96,3 @@
 	}
 	return answer
 }
-
-// refuser answers calls on an outgoing connection, which has none.
-type refuser struct{}
-
-// Handle implements [jsonrpc2.Handler].
-func (refuser) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -109,10 +109,11 @@
 	})
 
 	It("tells Unknown where the peer died with the request, and connects again later", func() {
-		began := make(chan struct{})
-		r := &receiver{answer: func(ctx context.Context, _ message.Ask) outcome.Outcome {
+		began, over := make(chan struct{}), make(chan struct{})
+		DeferCleanup(func() { close(over) })
+		r := &receiver{answer: func(context.Context, message.Ask) outcome.Outcome {
 			close(began)
-			<-ctx.Done()
+			<-over
 			return outcome.NotRun{}
 		}}
 		address, stop := serve("ilo-2", secret, r, io.Discard)
--- a/io/standin/platform/platform.go
+++ b/io/standin/platform/platform.go
@@ -3,7 +3,6 @@
 package platform
 
 import (
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -192,29 +191,6 @@
 	writeJSON(w, map[string]any{"Hosts": seen})
 }
 
-func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
-	var next faults
-	if !decode(w, r, &next) {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.faults = next
-}
-
-func (p *Platform) setHosts(w http.ResponseWriter, r *http.Request) {
-	var request struct{ Hosts []hostentry.HostEntry }
-	if decode(w, r, &request) {
-		p.SetHosts(request.Hosts)
-	}
-}
-
-func (p *Platform) count(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	writeJSON(w, map[string]any{"Calls": p.calls, "Waiting": p.waiting})
-}
-
 func (p *Platform) find(key string) (record, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -242,16 +218,3 @@
 	defer p.mu.Unlock()
 	p.waiting += change
 }
-
-func decode(w http.ResponseWriter, r *http.Request, into any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*maxValue)).Decode(into); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/io/standin/callers/row.go
+++ b/io/standin/row/row.go
@@ -1,4 +1,5 @@
-package callers
+// Package row holds the result of one stream of a load.
+package row
 
 // Row is the result of one stream.
 type Row struct {
--- a/io/standin/server/run.go
+++ b/io/standin/run/run.go
@@ -1,4 +1,5 @@
-package server
+// Package run holds what a backend server's stand-in records.
+package run
 
 import "time"
 
--- a/io/standin/server/server.go
+++ b/io/standin/server/server.go
@@ -18,6 +18,7 @@
 
 	"redwingsill/core/grant"
 	"redwingsill/io/backendserver"
+	"redwingsill/io/standin/run"
 )
 
 const (
@@ -39,7 +40,7 @@
 	draining    bool
 	frozen      bool
 	highest     grant.Grant
-	runs        []Run
+	runs        []run.Run
 	loads       []int
 	loadAt      time.Time
 }
@@ -60,10 +61,10 @@
 }
 
 // Runs returns all runs so far.
-func (s *Server) Runs() []Run {
+func (s *Server) Runs() []run.Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]Run{}, s.runs...)
+	return append([]run.Run{}, s.runs...)
 }
 
 func (s *Server) handler() http.Handler {
@@ -105,9 +106,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	run := Run{Server: s.settings.Name, Key: r.Header.Get(backendserver.HeaderKey),
+	record := run.Run{Server: s.settings.Name, Key: r.Header.Get(backendserver.HeaderKey),
 		RequestID: r.Header.Get(backendserver.HeaderRequestID), Grant: r.Header.Get(backendserver.HeaderGrant), Began: time.Now()}
-	index := s.begin(run)
+	index := s.begin(record)
 	timer := time.NewTimer(s.serviceTime())
 	defer timer.Stop()
 	isWhole := true
@@ -123,7 +124,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"Server": run.Server, "Key": run.Key, "RequestID": run.RequestID,
+	_ = json.NewEncoder(w).Encode(map[string]any{"Server": record.Server, "Key": record.Key, "RequestID": record.RequestID,
 		"BodyBytes": len(body)})
 }
 
@@ -149,11 +150,11 @@
 	return ""
 }
 
-func (s *Server) begin(run Run) int {
+func (s *Server) begin(r run.Run) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.runs) < maxRuns {
-		s.runs = append(s.runs, run)
+		s.runs = append(s.runs, r)
 	}
 	return len(s.runs) - 1
 }
--- a/io/operator/submission.go
+++ b/io/submission/submission.go
@@ -1,4 +1,5 @@
-package operator
+// Package submission holds the form in which operators submit changes.
+package submission
 
 import (
 	"encoding/json"
@@ -22,7 +23,9 @@
 	DryRun           bool              `json:",omitempty"`
 }
 
-func (s Submission) change() (change.Change, error) {
+// Change returns the change that the submission stands for. Errors are an [*Error], or a *configuration.Error of kind
+// Invalid.
+func (s Submission) Change() (change.Change, error) {
 	if s.ID == "" || s.By == "" {
 		return change.Change{}, newError("read change", kind.Invalid, errors.New("the fields ID and By are needed"))
 	}
