Claims that have lapsed and permits that come late

Cause: a stronger property test (splits, the arbiter killed, paused or isolated, messages up to 4 s late) found two stewards for one server. Change: a claim carries the validity left and the time at which it was asked for, and counts only while it surely has not lapsed; a promise counts as word of its candidate when the next one asks; an order names the newest grant sent, and the host takes none up to it; reports that come after newer ones are dropped. Ruled out: delays of the test itself; they are those of a process that is stopped and goes on.

--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -26,7 +26,7 @@
 	verdictsInterval = 500 * time.Millisecond
 	planInterval     = 200 * time.Millisecond
 	probeInterval    = time.Second
-	maxRounds        = 64
+	maxRounds        = 512
 	leavingPatience  = 1500 * time.Millisecond
 	refusalRounds    = 8 // rounds after which a member must know of a permit
 )
@@ -112,7 +112,7 @@
 		a.peers[f.Member] = peer{reportedAt: now, followedAt: v.Since, report: message.Report{Member: f.Member,
 			Incarnation: f.Incarnation, Stamp: stamp.Stamp{Configuration: -1, AssignmentTerm: -1, ViewTerm: -1}}}
 		for _, p := range f.Holdings {
-			a = a.withClaim(f.Member, f.Incarnation, p)
+			a = a.withClaim(f.Member, f.Incarnation, p, f.Echo, now)
 		}
 	}
 	a.down, a.leaving, a.hosts = a.view.Down, a.view.Leaving, a.view.Hosts
@@ -211,8 +211,12 @@
 	return a, effects
 }
 
-// withClaim takes over a permit that a member holds from an earlier arbiter.
-func (a Arbiter) withClaim(host string, incarnation int64, p permit.Permit) Arbiter {
+// withClaim takes over a permit that a member holds from an earlier arbiter. The member has said so at some time after
+// asked. A claim that may have lapsed meanwhile counts for nothing, since another host may hold the server by now.
+func (a Arbiter) withClaim(host string, incarnation int64, p permit.Permit, asked, now time.Time) Arbiter {
+	if !now.Before(asked.Add(p.Validity - a.timing.Drift)) {
+		return a
+	}
 	h := a.holdings[p.Server]
 	server, declared := a.configuration.BackendServers[p.Server]
 	if p.Grant.Term >= a.term || !declared || server.DataCentre != a.dataCentre ||
--- a/core/arbiter/beats.go
+++ b/core/arbiter/beats.go
@@ -13,8 +13,12 @@
 // take handles a member's report and answers it.
 func (a Arbiter) take(r message.Report, now time.Time) (Arbiter, []effect.Effect) {
 	p := a.peers[r.Member]
+	at, isKnown := a.rounds[r.Round]
+	if !isKnown || r.Incarnation < p.report.Incarnation || r.Incarnation == p.report.Incarnation && r.SentAt.Before(p.report.SentAt) {
+		return a, nil
+	}
 	p.report, p.reportedAt = r, now
-	if at, ok := a.rounds[r.Round]; ok && at.After(p.followedAt) {
+	if at.After(p.followedAt) {
 		p.followedAt = at
 	}
 	a.peers = maps.Clone(a.peers)
@@ -28,7 +32,7 @@
 		a.changed = true
 	}
 	for _, held := range r.Holdings {
-		a = a.withClaim(r.Member, r.Incarnation, held)
+		a = a.withClaim(r.Member, r.Incarnation, held, at, now)
 	}
 	a = a.released(r, now)
 	if r.HasHoldings {
@@ -103,6 +107,9 @@
 		if h.sentRound == 0 {
 			h.sentRound = a.round
 		}
+		if h.grant.Term < a.term && a.isOrdered(server) {
+			continue
+		}
 		if h.grant.Term < a.term {
 			a.generation++
 			h.grant.Term, h.grant.Generation = a.term, a.generation
--- a/core/arbiter/holdings.go
+++ b/core/arbiter/holdings.go
@@ -185,6 +185,9 @@
 func (a Arbiter) order(host string, r release.Release) Arbiter {
 	a.orderID++
 	r.ID = a.orderID
+	if r.All {
+		r.Grant = a.holdings[r.Server].grant
+	}
 	a.orders = maps.Clone(a.orders)
 	a.orders[r.ID] = order{release: r, host: host}
 	a.changed = true
--- a/core/candidate/canvass.go
+++ b/core/candidate/canvass.go
@@ -30,7 +30,7 @@
 	for _, name := range c.quorums.Members() {
 		if !c.promises[name].message.Accepted {
 			effects = append(effects, effect.Send{To: name, Message: message.Follow{Term: c.term, Candidate: c.name,
-				Incarnation: c.incarnation, First: c.isFirst, Stamp: m.Stamp()}})
+				Incarnation: c.incarnation, First: c.isFirst, SentAt: now, Stamp: m.Stamp()}})
 		}
 	}
 	return c, effects
--- a/core/drive/drive.go
+++ b/core/drive/drive.go
@@ -45,6 +45,9 @@
 	// Loss and Double are the shares of messages that are lost and that arrive twice.
 	Loss   float64
 	Double float64
+	// Late is the share of messages that take up to LateBy, as they do to a process that is stopped and goes on.
+	Late   float64
+	LateBy time.Duration
 	ticket uint64
 	// Outcomes are what callers were told, by ticket.
 	Outcomes map[uint64]outcome.Outcome
--- a/core/drive/property_test.go
+++ b/core/drive/property_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	propertyHosts   = 4
+	propertyHosts   = 5
 	propertyServers = 3
 	propertySteps   = 25
 )
@@ -44,11 +44,13 @@
 // assignment, and that all is served again once the faults have ended.
 func TestOwnershipUnderRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		size := example.Size{Hosts: propertyHosts, Servers: propertyServers, ServerSlots: 2, Slots: 9, HotKeys: 4,
+		size := example.Size{Hosts: rapid.IntRange(3, propertyHosts).Draw(t, "Hosts"), Servers: propertyServers, ServerSlots: 2, Slots: 9, HotKeys: 4,
 			ChecksGrants: rapid.Bool().Draw(t, "ChecksGrants")}
 		d := drive.New(size.Configuration(), example.DataCentre, timing.Default(), rapid.Uint64().Draw(t, "Seed"))
 		d.Loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "Loss")
 		d.Double = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "Double")
+		d.Late = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "Late")
+		d.LateBy = 4 * time.Second
 		newest := map[string]assignment.Assignment{}
 		d.OnStep = func(name string) {
 			d.Serving()
@@ -64,7 +66,7 @@
 		var sent []asked
 		for range rapid.IntRange(3, propertySteps).Draw(t, "Steps") {
 			sent = fault(t, d, newest, sent)
-			d.Run(time.Duration(rapid.IntRange(1, 1500).Draw(t, "Milliseconds")) * time.Millisecond)
+			d.Run(time.Duration(rapid.SampledFrom([]int{1, 20, 100, 300, 700, 1500, 2500, 3500}).Draw(t, "Milliseconds")) * time.Millisecond)
 		}
 		heal(d, newest)
 		if !d.RunUntil(15*time.Second, allServed(d)) {
@@ -81,7 +83,18 @@
 	other := rapid.SampledFrom(append([]string{"platform"}, d.Names()...)).Draw(t, "Other")
 	server := fmt.Sprintf("%s-%d", example.Service, rapid.IntRange(1, propertyServers).Draw(t, "Server"))
 	switch rapid.SampledFrom([]string{"kill", "replace", "pause", "resume", "cut", "heal", "down", "up", "leaving", "platform",
-		"leave", "freeze", "thaw", "ask", "ask", "ask", "repeat", "repeat"}).Draw(t, "Fault") {
+		"leave", "freeze", "thaw", "ask", "ask", "ask", "repeat", "repeat", "split", "split", "join", "killArbiter", "pauseArbiter",
+		"isolateArbiter"}).Draw(t, "Fault") {
+	case "split":
+		split(t, d)
+	case "join":
+		join(d)
+	case "killArbiter":
+		d.KillHost(anyArbiter(d))
+	case "pauseArbiter":
+		d.PauseHost(anyArbiter(d))
+	case "isolateArbiter":
+		cutOff(d, anyArbiter(d))
 	case "kill":
 		d.KillHost(host)
 	case "replace":
@@ -122,6 +135,34 @@
 	return sent
 }
 
+// split cuts the hosts and the platform into two parts that do not reach each other.
+func split(t *rapid.T, d *drive.Drive) {
+	side := map[string]bool{"platform": true}
+	for _, name := range d.Names() {
+		side[name] = rapid.Bool().Draw(t, "Side")
+	}
+	for _, a := range d.Names() {
+		for b := range side {
+			d.Cut(a, b, side[a] != side[b])
+		}
+	}
+}
+
+func join(d *drive.Drive) {
+	for _, a := range d.Names() {
+		for _, b := range append([]string{"platform"}, d.Names()...) {
+			d.Cut(a, b, false)
+		}
+	}
+}
+
+func anyArbiter(d *drive.Drive) string {
+	if name := arbiterOf(d); name != "" {
+		return name
+	}
+	return d.Names()[0]
+}
+
 // ask sends a request whose key follows from its id.
 func ask(t *rapid.T, d *drive.Drive, host string, a asked) asked {
 	key := a.id
@@ -135,7 +176,8 @@
 }
 
 func heal(d *drive.Drive, newest map[string]assignment.Assignment) {
-	d.Loss, d.Double = 0, 0
+	d.Loss, d.Double, d.Late = 0, 0, 0
+	join(d)
 	d.SetPlatform(false, false)
 	d.SetDown()
 	for i := range propertyServers {
@@ -143,9 +185,6 @@
 		d.FreezeServer(fmt.Sprintf("%s-%d", example.Service, i+1), false)
 	}
 	for _, name := range d.Names() {
-		for _, other := range append([]string{"platform"}, d.Names()...) {
-			d.Cut(name, other, false)
-		}
 		d.KillHost(name)
 		delete(newest, name)
 		d.StartHost(name)
--- a/core/drive/wires.go
+++ b/core/drive/wires.go
@@ -20,7 +20,11 @@
 		return
 	}
 	e := event.Received{From: from.name, Message: f.Message}
-	d.deliverTo(to, d.delay(), e)
+	delay := d.delay()
+	if d.random.Float64() < d.Late {
+		delay += time.Duration(d.random.Int64N(int64(d.LateBy)))
+	}
+	d.deliverTo(to, delay, e)
 	if d.random.Float64() < d.Double {
 		d.deliverTo(to, d.delay()+time.Duration(d.random.Int64N(int64(200*time.Millisecond))), e)
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -44,6 +44,8 @@
 	reportedAt         time.Time
 	// heardAt is when the newest round of any arbiter came. What the member has reported since names no later round.
 	heardAt time.Time
+	// promisedAt is when the member last promised to follow a candidate.
+	promisedAt time.Time
 	// quietSince is when the newest round of an arbiter before the one it follows came.
 	quietSince  time.Time
 	round       int64
@@ -133,7 +135,7 @@
 			m.adopted = with(m.adopted, e.Release.ID)
 		}
 		if e.Release.All {
-			m = m.withoutPermit(e.Release.Server)
+			m = m.withoutPermit(e.Release)
 		}
 		return m.report(now)
 	case event.Heated:
--- a/core/member/permits.go
+++ b/core/member/permits.go
@@ -7,8 +7,10 @@
 
 	"redwingsill/core/effect"
 	"redwingsill/core/event"
+	"redwingsill/core/grant"
 	"redwingsill/core/message"
 	"redwingsill/core/permit"
+	"redwingsill/core/release"
 )
 
 // Permits returns the permits that are valid at now, in the order of the servers' names.
@@ -45,15 +47,25 @@
 	return m, effects
 }
 
-// withoutPermit returns the member that has given a backend server up and takes no older permit for it again.
-func (m Member) withoutPermit(server string) Member {
-	held, ok := m.permits[server]
-	if !ok {
-		return m
-	}
+// withoutPermit returns the member that has given a backend server up as an order asked. It takes no permit for it again
+// that was sent before the order, even if it arrives later.
+func (m Member) withoutPermit(order release.Release) Member {
 	m.gaveUp = maps.Clone(m.gaveUp)
-	m.gaveUp[server] = held.Grant
+	for _, g := range []grant.Grant{order.Grant, m.permits[order.Server].Grant} {
+		if g.Compare(m.gaveUp[order.Server]) > 0 {
+			m.gaveUp[order.Server] = g
+		}
+	}
 	m.permits = maps.Clone(m.permits)
-	delete(m.permits, server)
+	delete(m.permits, order.Server)
 	return m
 }
+
+// holdings returns the valid permits with the validity that is left.
+func (m Member) holdings(now time.Time) []permit.Permit {
+	held := m.Permits(now)
+	for i := range held {
+		held[i].Validity = held[i].Expiry.Sub(now)
+	}
+	return held
+}
--- a/core/member/promises.go
+++ b/core/member/promises.go
@@ -14,7 +14,7 @@
 	}
 	isSame := f.Term == m.term && f.Candidate == m.arbiter && f.Incarnation == m.arbiterIncarnation
 	hasArbiter := now.Sub(m.beatAt) < m.timing.Silence && m.arbiter != f.Candidate
-	reply := message.Followed{Term: f.Term, Member: m.name, Incarnation: m.incarnation, Highest: m.term}
+	reply := message.Followed{Term: f.Term, Echo: f.SentAt, Member: m.name, Incarnation: m.incarnation, Highest: m.term}
 	if !isSame && (f.Term <= m.term || hasArbiter) {
 		if f.Term > m.term {
 			m.contender, m.contenderAt = f.Term, now
@@ -23,13 +23,14 @@
 	}
 	reply.Accepted, reply.Quorums = true, m.quorums
 	if !isSame {
-		m.quietSince = later(m.heardAt, m.startedAt)
+		m.quietSince = later(later(m.heardAt, m.promisedAt), m.startedAt)
+		m.promisedAt = now
 	}
 	if f.First {
 		m.silentUntil = m.startedAt
 	}
 	reply.Quiet = now.Sub(m.quietSince)
-	reply.Holdings = m.Permits(now)
+	reply.Holdings = m.holdings(now)
 	m.term, m.arbiter, m.arbiterIncarnation, m.round = f.Term, f.Candidate, f.Incarnation, 0
 	m.wantsHoldings = true
 	own := m.Stamp()
--- a/core/member/reports.go
+++ b/core/member/reports.go
@@ -48,7 +48,7 @@
 		Leaving:     m.leaving,
 	}
 	if m.wantsHoldings {
-		r.Holdings, r.HasHoldings = m.Permits(now), true
+		r.Holdings, r.HasHoldings = m.holdings(now), true
 	}
 	if now.Sub(m.contenderAt) < 2*m.timing.Silence {
 		r.Contender = m.contender
@@ -87,7 +87,7 @@
 	m.handovers = maps.Clone(m.handovers)
 	m.handovers[e.Release.ID] = handover{order: e.Release, sentAt: now}
 	if e.Release.All {
-		m = m.withoutPermit(e.Release.Server)
+		m = m.withoutPermit(e.Release)
 	}
 	adopt := e.Adopt
 	adopt.From = m.name
--- a/core/message/followed.go
+++ b/core/message/followed.go
@@ -17,11 +17,13 @@
 	// Incarnation tells one start of the member from another.
 	Incarnation int64
 	Accepted    bool
+	// Echo is the SentAt of the request that is answered.
+	Echo time.Time `json:",omitzero"`
 	// Highest is the highest term that the member follows.
 	Highest int64
-	// Quiet is the time since the member last heard an arbiter of an earlier term.
+	// Quiet is the time since the member last heard an arbiter of an earlier term, or promised to follow one.
 	Quiet time.Duration
-	// Holdings are the member's valid permits.
+	// Holdings are the member's valid permits, with the validity that is left.
 	Holdings []permit.Permit `json:",omitempty"`
 	// Quorums are the members that must agree on the next arbiter as far as the member knows.
 	Quorums       quorum.Quorums               `json:",omitempty"`
--- a/core/message/report.go
+++ b/core/message/report.go
@@ -18,7 +18,8 @@
 	// SentAt is the member's clock, for the arbiter to send back.
 	SentAt time.Time
 	Stamp  stamp.Stamp
-	// Digest stands for the member's valid permits. Holdings lists them where the arbiter has asked for them.
+	// Digest stands for the member's valid permits. Holdings lists them, with the validity that is left,
+	// where the arbiter has asked for them.
 	Digest   uint64          `json:",omitempty"`
 	Holdings []permit.Permit `json:",omitempty"`
 	// HasHoldings says that Holdings is the whole list, though it may be empty.
--- a/core/steward/steward_test.go
+++ b/core/steward/steward_test.go
@@ -198,6 +198,7 @@
 
 	It("is refused, not forgotten, when it can't be told apart from an older run at another server", func() {
 		b := newBench(2)
+		b.pass(500 * time.Millisecond)
 		b.step(event.Assigned{Server: server, Assignment: owned(2, "inventario-2")})
 		r := id(b)
 		b.pass(time.Second)
