Released units stay released until a newer assignment than the order's

A steward released units by an order given under assignment 65.1 before that assignment had reached it; when 65.1 came, late, the steward took it for the end of the release. Change: an order names the assignment in force when it was given, and only a newer one ends it. Ruled out: refusing orders for an assignment that has not come yet; the release would wait for a message that may be lost.

--- a/core/arbiter/holdings.go
+++ b/core/arbiter/holdings.go
@@ -184,7 +184,7 @@
 // order gives an order of release to a host.
 func (a Arbiter) order(host string, r release.Release) Arbiter {
 	a.orderID++
-	r.ID = a.orderID
+	r.ID, r.Term, r.Version = a.orderID, a.assignment.Term, a.assignment.Version
 	if r.All {
 		r.Grant = a.holdings[r.Server].grant
 	}
--- a/core/steward/permits.go
+++ b/core/steward/permits.go
@@ -82,7 +82,7 @@
 		}
 	}
 	for _, r := range s.releases {
-		if !r.order.All && r.isDone {
+		if !r.order.All && r.isDone && r.order.IsOver(next.Term, next.Version) {
 			s.releases = withoutRelease(s.releases, r.order.ID)
 		}
 	}
--- a/core/steward/steward_test.go
+++ b/core/steward/steward_test.go
@@ -282,6 +282,17 @@
 		Expect(b.others).To(HaveLen(1))
 	})
 
+	It("of units lasts until an assignment that is newer than the order", func() {
+		b := newBench(1)
+		b.step(event.ReleaseAsked{Release: release.Release{ID: 7, Server: server, Units: units, Term: 1, Version: 3}})
+		b.step(event.Assigned{Server: server, Assignment: owned(3, server)})
+		late := b.submit(request.Request{Key: "a"}, time.Second)
+		Expect(b.told[late]).To(HaveField("Moved", true))
+		b.step(event.Assigned{Server: server, Assignment: owned(4, server)})
+		b.submit(request.Request{Key: "a"}, time.Second)
+		Expect(b.runs).To(HaveLen(1))
+	})
+
 	It("of the whole server hands over its memory and ends the permit", func() {
 		b := newBench(1)
 		b.pass(200 * time.Millisecond)
