Calls to the platform bounded, contract tests of the platform and of TLS

Cause: hosts without an arbiter called the platform twice a second each, so 7,900 that start at once would make 15,800 calls a second; the clients' and the stand-in's contracts were unproved. Change: a host's calls while it is alone double their pause up to 8 s and differ from host to host; each host has a ceiling (--platform-rate, x/time/rate). Tests of compare-and-swap, leases, watches, the lagging list and each fault, and of certificates that change. Ruled out: a shared ceiling for all hosts; it would need a service of its own. A start of all hosts at once still makes about two calls for each in the first second.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -2,8 +2,11 @@
 package cell
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"redwingsill/core/arbiter"
 	"redwingsill/core/candidate"
 	"redwingsill/core/configuration"
@@ -17,6 +20,13 @@
 	"redwingsill/core/timing"
 )
 
+// The bounds of a host's calls to the platform while it has no arbiter.
+const (
+	maxDoublings = 5
+	maxPause     = 8 * time.Second
+	listEvery    = 2 // calls for each call for the list of hosts, once there is one
+)
+
 // Cell is the state of the host's part. It is immutable.
 type Cell struct {
 	name        string
@@ -32,8 +42,9 @@
 	isShown     bool
 	isLeaving   bool
 	sequence    int64
-	readAt      time.Time
-	listedAt    time.Time
+	// lonelyCalls counts the calls made without an arbiter, and nextCallAt is when the next is due.
+	lonelyCalls int
+	nextCallAt  time.Time
 }
 
 // New returns the part of a host that has just started. The incarnation must differ from start to start.
@@ -167,19 +178,34 @@
 func (c Cell) bootstrap(now time.Time) (Cell, []effect.Effect) {
 	var effects []effect.Effect
 	isAlone := now.Sub(c.member.BeatAt()) > c.timing.Silence
-	if isAlone && now.Sub(c.listedAt) > 2*c.timing.Beat {
-		c.listedAt = now
+	if !isAlone {
+		c.lonelyCalls = 0
+		return c, nil
+	}
+	if now.Before(c.nextCallAt) {
+		return c, nil
+	}
+	c.nextCallAt = now.Add(c.pause())
+	c.lonelyCalls++
+	if len(c.Hosts()) == 0 || c.lonelyCalls%listEvery == 0 {
 		effects = append(effects, effect.ListHosts{})
 	}
 	_, declared := c.member.Configuration().DataCentres[c.dataCentre]
-	if isAlone && !declared && now.Sub(c.readAt) > c.timing.Beat {
-		c.readAt = now
+	if !declared {
 		c.sequence--
 		effects = append(effects, effect.ReadKey{ID: c.sequence, Key: string(platformkey.Configuration), After: -1})
 	}
 	return c, effects
 }
 
+// pause returns the time until the next call of a host without an arbiter. It doubles up to a bound and differs from
+// host to host, so that many hosts that start at once do not call at once.
+func (c Cell) pause() time.Duration {
+	longest := min(c.timing.Beat<<min(c.lonelyCalls, maxDoublings), maxPause)
+	share := xxhash.Sum64String(c.name+strconv.Itoa(c.lonelyCalls)) % 1000
+	return longest/2 + longest/2*time.Duration(share)/1000
+}
+
 // show publishes a snapshot when something in it has changed.
 func (c Cell) show() (Cell, []effect.Effect) {
 	if now := c.member.Stamp(); c.isShown && now == c.shown {
--- a/core/drive/drive.go
+++ b/core/drive/drive.go
@@ -169,6 +169,7 @@
 	case effect.WriteKey:
 		d.platform.write(n, f)
 	case effect.ListHosts:
+		d.platform.calls++
 		if d.platform.reaches(n) {
 			d.deliverTo(n, d.delay(), event.HostsListed{Hosts: d.listed()})
 		}
--- a/core/drive/platform.go
+++ b/core/drive/platform.go
@@ -33,11 +33,11 @@
 
 // reaches reports whether a host's call gets through.
 func (p *platform) reaches(n *node) bool {
-	p.calls++
 	return !p.isDown && !p.drive.cuts[[2]string{n.name, "platform"}]
 }
 
 func (p *platform) read(n *node, f effect.ReadKey) {
+	p.calls++
 	if !p.reaches(n) {
 		p.drive.deliverTo(n, failTime, event.PlatformFailed{ID: f.ID})
 		return
@@ -74,6 +74,7 @@
 }
 
 func (p *platform) write(n *node, f effect.WriteKey) {
+	p.calls++
 	if !p.reaches(n) {
 		p.drive.deliverTo(n, failTime, event.PlatformFailed{ID: f.ID})
 		return
--- a/io/commandline/entry.go
+++ b/io/commandline/entry.go
@@ -68,7 +68,7 @@
 	defer closeSpans()
 	tracer, closeTracer := trace.New(s.name, spans)
 	defer closeTracer()
-	store, closeStore := platform.New(s.platform)
+	store, closeStore := platform.New(s.platform, s.platformRate)
 	defer closeStore()
 	verdicts, closeVerdicts := monitor.New(s.monitor)
 	defer closeVerdicts()
--- a/io/commandline/entrysettings.go
+++ b/io/commandline/entrysettings.go
@@ -1,6 +1,7 @@
 package commandline
 
 import (
+	"fmt"
 	"io"
 	"os"
 
@@ -15,6 +16,7 @@
 	peerSecret, operatorToken                   string
 	certificate, key, clientCA                  string
 	logLevel, traces                            string
+	platformRate                                float64
 }
 
 func entryFlags() []cli.Flag {
@@ -25,6 +27,7 @@
 		setting("peer-address", "REDWINGSILL_PEER_ADDRESS", "the IP number and port to serve other entry hosts on", "127.0.0.1:8081"),
 		setting("operator-address", "REDWINGSILL_OPERATOR_ADDRESS", "the IP number and port to serve operators, metrics and health on", "127.0.0.1:8082"),
 		setting("platform", "REDWINGSILL_PLATFORM", "the URL of the platform's service", ""),
+		&cli.FloatFlag{Name: "platform-rate", Usage: "the most calls a second that this host makes to the platform", Value: 10, Sources: cli.EnvVars("REDWINGSILL_PLATFORM_RATE")},
 		setting("monitor", "REDWINGSILL_MONITOR", "the URL of the monitoring group's verdicts", ""),
 		setting("peer-secret", "REDWINGSILL_PEER_SECRET", "the secret that all entry hosts share, 16 characters or more", ""),
 		setting("operator-token", "REDWINGSILL_OPERATOR_TOKEN", "the token that allows changes; without one they are refused", ""),
@@ -44,7 +47,7 @@
 		platform:        c.String("platform"), monitor: c.String("monitor"),
 		peerSecret: c.String("peer-secret"), operatorToken: c.String("operator-token"),
 		certificate: c.String("tls-certificate"), key: c.String("tls-key"), clientCA: c.String("tls-client-ca"),
-		logLevel: c.String("log-level"), traces: c.String("traces"),
+		logLevel: c.String("log-level"), traces: c.String("traces"), platformRate: c.Float("platform-rate"),
 	}
 	var wrong checks
 	wrong.name("--name", s.name)
@@ -54,6 +57,7 @@
 	wrong.address("--operator-address", s.operatorAddress)
 	wrong.url("--platform", s.platform)
 	wrong.url("--monitor", s.monitor)
+	wrong.require(s.platformRate >= 4 && s.platformRate <= 1000, "--platform-rate", fmt.Sprint(s.platformRate), "4 to 1000; an arbiter needs 3 calls a second")
 	wrong.require(len(s.peerSecret) >= 16, "--peer-secret", "a secret of "+lengthOf(s.peerSecret), "16 characters or more")
 	wrong.require((s.certificate == "") == (s.key == ""), "--tls-key", s.key, "given together with --tls-certificate")
 	wrong.require(s.clientCA == "" || s.certificate != "", "--tls-client-ca", s.clientCA, "given together with --tls-certificate")
--- a/io/commandline/hopdeployment.go
+++ b/io/commandline/hopdeployment.go
@@ -49,7 +49,7 @@
 	for i, name := range names {
 		s := entrySettings{name: name, dataCentre: "ilo", peerAddress: addresses[3+3*i], callerAddress: addresses[4+3*i],
 			operatorAddress: addresses[5+3*i], platform: "http://" + addresses[0], monitor: "http://" + addresses[1],
-			peerSecret: "a secret for measuring hops", operatorToken: hopToken, logLevel: "error"}
+			peerSecret: "a secret for measuring hops", operatorToken: hopToken, logLevel: "error", platformRate: 50}
 		d.callers = append(d.callers, "http://"+s.callerAddress)
 		d.operators = append(d.operators, "http://"+s.operatorAddress)
 		tasks.Go(func(ctx context.Context) { _ = runEntry(ctx, s, io.Discard) })
--- /dev/null
+++ b/io/keys/keys_test.go
@@ -0,0 +1,114 @@
+package keys_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"redwingsill/io/keys"
+)
+
+func TestKeys(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Keys")
+}
+
+// write writes a certificate for a name, signed by itself, and its key.
+func write(folder, name string) (certificate, key string, pair tls.Certificate) {
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, IsCA: true,
+		BasicConstraintsValid: true, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	Expect(err).NotTo(HaveOccurred())
+	text, err := x509.MarshalECPrivateKey(private)
+	Expect(err).NotTo(HaveOccurred())
+	certificate, key = filepath.Join(folder, "certificate.pem"), filepath.Join(folder, "key.pem")
+	certificatePEM := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	keyPEM := pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: text})
+	Expect(os.WriteFile(certificate, certificatePEM, 0o600)).To(Succeed())
+	Expect(os.WriteFile(key, keyPEM, 0o600)).To(Succeed())
+	pair, err = tls.X509KeyPair(certificatePEM, keyPEM)
+	Expect(err).NotTo(HaveOccurred())
+	return certificate, key, pair
+}
+
+// dial returns the name in the certificate that a listener shows.
+func dial(address string, client ...tls.Certificate) (string, error) {
+	conn, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true, Certificates: client}) // the name is what the test looks at
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		return "", err
+	}
+	return conn.ConnectionState().PeerCertificates[0].Subject.CommonName, nil
+}
+
+func serve(k *keys.Keys) string {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	listener, err := k.Listen(plain)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Write([]byte("x"))
+			_ = conn.Close()
+		}
+	}()
+	return plain.Addr().String()
+}
+
+var _ = Describe("keys", func() {
+	It("are read again when their files change, and kept while the files are broken", func() {
+		folder := GinkgoT().TempDir()
+		certificate, key, _ := write(folder, "old")
+		address := serve(keys.New(certificate, key, ""))
+		Expect(dial(address)).To(Equal("old"))
+		write(folder, "new")
+		Eventually(func() (string, error) { return dial(address) }, 5*time.Second, 100*time.Millisecond).Should(Equal("new"))
+		Expect(os.WriteFile(certificate, []byte("broken"), 0o600)).To(Succeed())
+		time.Sleep(1100 * time.Millisecond)
+		Expect(dial(address)).To(Equal("new"))
+	})
+
+	It("ask clients for a certificate of a declared authority", func() {
+		certificate, key, _ := write(GinkgoT().TempDir(), "server")
+		authority, _, client := write(GinkgoT().TempDir(), "operator")
+		_, _, stranger := write(GinkgoT().TempDir(), "stranger")
+		address := serve(keys.New(certificate, key, authority))
+		Expect(dial(address, client)).To(Equal("server"))
+		_, err := dial(address, stranger)
+		Expect(err).To(HaveOccurred())
+		_, err = dial(address)
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("that can't be used are refused at the start", func() {
+		plain, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(plain.Close)
+		_, err = keys.New("none", "none", "").Listen(plain)
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"redwingsill/core/hostentry"
 	"redwingsill/core/kind"
 )
@@ -24,14 +26,16 @@
 
 // Platform is a client of the platform's service. Its methods may be called at the same time.
 type Platform struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	limiter *rate.Limiter
 }
 
-// New returns a client of the service at a base URL, and its clean-up.
-func New(base string) (*Platform, func()) {
+// New returns a client of the service at a base URL that makes at most so many calls a second, and its clean-up.
+func New(base string, callsPerSecond float64) (*Platform, func()) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
-	p := &Platform{base: base, http: &http.Client{Transport: transport}}
+	p := &Platform{base: base, http: &http.Client{Transport: transport},
+		limiter: rate.NewLimiter(rate.Limit(callsPerSecond), max(1, int(2*callsPerSecond)))}
 	return p, transport.CloseIdleConnections
 }
 
@@ -87,6 +91,9 @@
 func (p *Platform) call(ctx context.Context, op, path string, timeout time.Duration, request, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	if err := p.limiter.Wait(ctx); err != nil {
+		return newError(op, kind.Unavailable, err)
+	}
 	text, err := json.Marshal(request)
 	if err != nil {
 		return newError(op, kind.Invalid, err)
--- /dev/null
+++ b/io/platform/platform_test.go
@@ -0,0 +1,158 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"redwingsill/core/hostentry"
+	"redwingsill/core/kind"
+	"redwingsill/io/platform"
+	standin "redwingsill/io/standin/platform"
+)
+
+func TestPlatform(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Platform")
+}
+
+// service is a stand-in whose clock the test sets, and a client of it.
+type service struct {
+	*standin.Platform
+	client *platform.Platform
+	base   string
+	now    time.Time
+}
+
+func newService() *service {
+	s := &service{now: time.Unix(1000, 0)}
+	s.Platform = standin.New(func() time.Time { return s.now })
+	server := httptest.NewServer(s.Handler())
+	DeferCleanup(server.Close)
+	client, closeClient := platform.New(server.URL, 1000)
+	DeferCleanup(closeClient)
+	s.client, s.base = client, server.URL
+	return s
+}
+
+func (s *service) faults(text string) {
+	response, err := http.Post(s.base+"/admin/faults", "application/json", strings.NewReader(text))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Body.Close()).To(Succeed())
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+}
+
+func kindOf(err error) kind.Kind {
+	var failure *platform.Error
+	if errors.As(err, &failure) {
+		return failure.Kind
+	}
+	return ""
+}
+
+var ctx = context.Background()
+
+var _ = Describe("the platform's service", func() {
+	It("writes a key only from the revision that it has", func() {
+		s := newService()
+		first, err := s.client.Write(ctx, "k", []byte("a"), 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.client.Write(ctx, "k", []byte("b"), 0, 0)
+		Expect(kindOf(err)).To(Equal(kind.Conflict))
+		second, err := s.client.Write(ctx, "k", []byte("c"), first, 0)
+		Expect(err).NotTo(HaveOccurred())
+		value, revision, err := s.client.Read(ctx, "k", -1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(value)).To(Equal("c"))
+		Expect(revision).To(Equal(second))
+		_, err = s.client.Write(ctx, "k", nil, second, 0)
+		Expect(err).NotTo(HaveOccurred())
+		_, revision, err = s.client.Read(ctx, "k", -1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(revision).To(BeZero())
+	})
+
+	It("lets a lease lapse unless it is renewed", func() {
+		s := newService()
+		first, err := s.client.Write(ctx, "lease", []byte("a"), 0, 2*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		s.now = s.now.Add(1500 * time.Millisecond)
+		_, err = s.client.Write(ctx, "lease", []byte("a"), first, 2*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		s.now = s.now.Add(1500 * time.Millisecond)
+		_, revision, err := s.client.Read(ctx, "lease", -1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(revision).NotTo(BeZero())
+		s.now = s.now.Add(time.Second)
+		_, err = s.client.Write(ctx, "lease", []byte("b"), 0, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("answers a watch when the key changes", func() {
+		s := newService()
+		first, err := s.client.Write(ctx, "k", []byte("a"), 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		values := make(chan string, 1)
+		go func() {
+			value, _, _ := s.client.Read(ctx, "k", first)
+			values <- string(value)
+		}()
+		Consistently(values, 50*time.Millisecond).ShouldNot(Receive())
+		_, err = s.client.Write(ctx, "k", []byte("b"), first, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(values).Should(Receive(Equal("b")))
+	})
+
+	It("lists hosts as they were a while ago", func() {
+		s := newService()
+		s.faults(`{"ListLag":"5s"}`)
+		s.SetHosts([]hostentry.HostEntry{{Name: "ilo-1"}})
+		s.now = s.now.Add(10 * time.Second)
+		s.SetHosts([]hostentry.HostEntry{{Name: "ilo-1", Leaving: true}})
+		hosts, err := s.client.Hosts(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(hosts[0].Leaving).To(BeFalse())
+		s.now = s.now.Add(6 * time.Second)
+		hosts, err = s.client.Hosts(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(hosts[0].Leaving).To(BeTrue())
+	})
+
+	DescribeTable("fails in ways that are told apart", func(fault string, write, read kind.Kind, tookEffect bool) {
+		s := newService()
+		s.faults(fault)
+		_, err := s.client.Write(ctx, "k", []byte("a"), 0, 0)
+		Expect(kindOf(err)).To(Equal(write))
+		_, _, err = s.client.Read(ctx, "k", -1)
+		Expect(kindOf(err)).To(Equal(read))
+		s.faults(`{}`)
+		_, revision, err := s.client.Read(ctx, "k", -1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(revision > 0).To(Equal(tookEffect))
+	},
+		Entry("down", `{"Down":true}`, kind.Unavailable, kind.Unavailable, false),
+		Entry("over its ceiling", `{"MaxWrites":-1,"MaxReads":-1,"Down":true}`, kind.Unavailable, kind.Unavailable, false),
+		Entry("an answer lost after the write took effect", `{"LoseAnswers":true}`, kind.Unknown, kind.Kind(""), true),
+		Entry("frozen", `{"Freeze":true}`, kind.Unknown, kind.Unknown, false),
+		Entry("slow", `{"Delay":"50ms"}`, kind.Kind(""), kind.Kind(""), true),
+	)
+
+	It("is not called more often than the ceiling allows", func() {
+		s := newService()
+		limited, closeClient := platform.New(s.base, 20)
+		DeferCleanup(closeClient)
+		began := time.Now()
+		for range 60 {
+			_, _, err := limited.Read(ctx, "k", -1)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(time.Since(began)).To(BeNumerically(">", 900*time.Millisecond))
+	})
+})
--- a/io/standin/platform/platform.go
+++ b/io/standin/platform/platform.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -67,6 +68,8 @@
 		p.mu.Unlock()
 		switch {
 		case f.Freeze:
+			// The server notices that the caller has gone only once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
 		case f.Down || isOver:
