--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -135,7 +135,8 @@
 		s.faults(`{}`)
 		_, revision, err := s.client.Read(ctx, "k", -1)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(revision > 0).To(Equal(tookEffect))
+		isKept := revision > 0
+		Expect(isKept).To(Equal(tookEffect))
 	},
 		Entry("down", `{"Down":true}`, kind.Unavailable, kind.Unavailable, false),
 		Entry("over its ceiling", `{"MaxWrites":-1,"MaxReads":-1,"Down":true}`, kind.Unavailable, kind.Unavailable, false),
