A host that stops in order is waited for until its arbiter has its word

The host ended when it held no permit, though the arbiter did not know yet; the heirs then waited for the lapse. Behind that, two more: an order asked for again while the memory was on its way was answered at once, without the heir's word; and a beat sent before the order made the host forget that it had done it. Change: a host is idle when no handover waits, no release waits for the arbiter's word and the view names it no steward; an order with an heir is answered only through the heir; a done order is kept until the arbiter has had a report since. Ruled out: a fixed wait before the end; it would hide the lost word.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -54,8 +54,9 @@
 
 	permits map[string]permit.Permit
 	// gaveUp is the newest grant of each backend server that the host has released.
-	gaveUp   map[string]grant.Grant
-	released map[int64]bool
+	gaveUp map[string]grant.Grant
+	// released gives the time at which each order of release was done.
+	released map[int64]time.Time
 	adopted  map[int64]bool
 	// handovers are the memories sent to an heir that has not answered yet.
 	handovers map[int64]handover
@@ -73,7 +74,7 @@
 		silentUntil: now.Add(t.Permit + t.Drift),
 		permits:     map[string]permit.Permit{},
 		gaveUp:      map[string]grant.Grant{},
-		released:    map[int64]bool{},
+		released:    map[int64]time.Time{},
 		adopted:     map[int64]bool{},
 		handovers:   map[int64]handover{},
 		heats:       map[string][]heat.Heat{},
@@ -130,7 +131,7 @@
 	case event.Received:
 		return m.receive(e, now)
 	case event.Released:
-		m.released = with(m.released, e.Release.ID)
+		m = m.withReleased(e.Release.ID, now)
 		if e.Adopted {
 			m.adopted = with(m.adopted, e.Release.ID)
 		}
@@ -195,11 +196,11 @@
 	}
 	m, effects := m.takeOver(b).holdPermits(b, now)
 	for _, r := range b.Releases {
-		if !m.released[r.ID] {
+		if _, isDone := m.released[r.ID]; !isDone {
 			effects = append(effects, effect.Instruct{Event: event.ReleaseAsked{Release: r}})
 		}
 	}
-	m.released, m.adopted = onlyAsked(m.released, b.Releases), onlyAsked(m.adopted, b.Releases)
+	m = m.withoutAnswered(b)
 	if b.Urgent || now.Sub(m.reportedAt) >= m.timing.Beat {
 		var more []effect.Effect
 		m, more = m.report(now)
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -9,9 +9,11 @@
 
 	"redwingsill/core/assignment"
 	"redwingsill/core/configuration"
+	"redwingsill/core/effect"
 	"redwingsill/core/event"
 	"redwingsill/core/member"
 	"redwingsill/core/message"
+	"redwingsill/core/release"
 	"redwingsill/core/stamp"
 	"redwingsill/core/timing"
 )
@@ -48,6 +50,19 @@
 		Expect(m.Term()).To(BeZero())
 	})
 
+	It("keeps its word on a release until the arbiter has surely had it", func() {
+		m := heed(member.New("ilo-1", 1, timing.Default(), start), message.Beat{Term: 1, Round: 1})
+		done := start.Add(11 * time.Second)
+		m, _ = m.Step(event.Released{Release: release.Release{ID: 7, Server: "inventario-1", All: true}, Adopted: true}, done)
+		reported := func(echo time.Time) message.Report {
+			next, _ := m.Step(event.Received{From: "ilo-2", Message: message.Beat{Term: 1, Arbiter: "ilo-2", Round: 2, Echo: echo}}, done.Add(time.Millisecond))
+			_, effects := next.Step(event.Ticked{}, done.Add(time.Second))
+			return effects[0].(effect.Send).Message.(message.Report)
+		}
+		Expect(reported(done.Add(-time.Second)).Adopted).To(Equal([]int64{7}))
+		Expect(reported(done.Add(time.Microsecond)).Adopted).To(BeEmpty())
+	})
+
 	It("refuses a candidate while its arbiter is alive, and tells the arbiter", func() {
 		m := heed(member.New("ilo-1", 1, timing.Default(), start), message.Beat{Term: 1, Round: 1})
 		m, effects := m.Step(event.Received{From: "ilo-3", Message: message.Follow{Term: 65, Candidate: "ilo-3"}}, start.Add(10200*time.Millisecond))
--- a/core/member/permits.go
+++ b/core/member/permits.go
@@ -69,3 +69,17 @@
 	}
 	return held
 }
+
+// HoldsNothing reports whether the member has no valid permit and its arbiter knows that: no handover waits for an
+// answer, no release for the arbiter's word, and the newest view names the member the steward of nothing.
+func (m Member) HoldsNothing(now time.Time) bool {
+	if len(m.Permits(now)) > 0 || len(m.handovers) > 0 || len(m.released) > 0 {
+		return false
+	}
+	for _, host := range m.view.Stewards {
+		if host == m.name {
+			return false
+		}
+	}
+	return true
+}
--- a/core/member/reports.go
+++ b/core/member/reports.go
@@ -9,7 +9,6 @@
 	"redwingsill/core/event"
 	"redwingsill/core/message"
 	"redwingsill/core/permit"
-	"redwingsill/core/release"
 )
 
 // tick reports when a report is due, and ends handovers that nobody answered.
@@ -71,15 +70,32 @@
 	return next
 }
 
-// onlyAsked returns the ids that are still asked for.
-func onlyAsked(m map[int64]bool, orders []release.Release) map[int64]bool {
-	next := map[int64]bool{}
-	for _, r := range orders {
-		if m[r.ID] {
-			next[r.ID] = true
+// withReleased returns the member that has done an order of release.
+func (m Member) withReleased(id int64, now time.Time) Member {
+	if _, isDone := m.released[id]; isDone {
+		return m
+	}
+	m.released = maps.Clone(m.released)
+	m.released[id] = now
+	return m
+}
+
+// withoutAnswered returns the member without the orders that the arbiter no longer gives though it has had a report since
+// they were done. A beat that was sent before such a report says nothing about them.
+func (m Member) withoutAnswered(b message.Beat) Member {
+	asked := map[int64]bool{}
+	for _, r := range b.Releases {
+		asked[r.ID] = true
+	}
+	released, adopted := maps.Clone(m.released), maps.Clone(m.adopted)
+	for id, doneAt := range m.released {
+		if !asked[id] && b.Echo.After(doneAt) {
+			delete(released, id)
+			delete(adopted, id)
 		}
 	}
-	return next
+	m.released, m.adopted = released, adopted
+	return m
 }
 
 // WithHandover returns the member that waits for the heir's answer, and the message to it.
--- a/core/steward/releases.go
+++ b/core/steward/releases.go
@@ -13,10 +13,10 @@
 )
 
 // release begins to give up units, or the whole server. An order that is known already changes nothing, but is
-// answered again where it is done.
+// answered again where it is done. While the memory is on its way to an heir, the heir's answer ends the order.
 func (s Steward) release(order release.Release, now time.Time) (Steward, []effect.Effect) {
 	if known, ok := s.releases[order.ID]; ok {
-		if known.isDone {
+		if known.isDone && order.Heir == "" {
 			return s, []effect.Effect{effect.Inform{Event: event.Released{Release: order}}}
 		}
 		return s, nil
--- a/core/steward/steward_test.go
+++ b/core/steward/steward_test.go
@@ -327,6 +327,15 @@
 		Expect(b.steward.Permit().IsValid(b.now)).To(BeFalse(), "a renewal under way gives the permit back")
 	})
 
+	It("that is asked for again while its memory is on its way is not answered early", func() {
+		b := newBench(1)
+		order := release.Release{ID: 7, Server: server, All: true, Successor: server, Heir: "ilo-2"}
+		b.step(event.ReleaseAsked{Release: order})
+		Expect(b.others).To(HaveLen(1))
+		b.step(event.ReleaseAsked{Release: order})
+		Expect(b.others).To(HaveLen(1))
+	})
+
 	It("that is handed over lets the next steward answer a repeat", func() {
 		old, next := newBench(1), newBenchWithoutPermit(1)
 		old.pass(200 * time.Millisecond)
--- a/io/commandline/deployment_test.go
+++ b/io/commandline/deployment_test.go
@@ -183,6 +183,12 @@
 
 // ask sends a request for a key and returns its outcome.
 func (d *deployment) ask(host, key, id, deadline string) string {
+	outcome, _ := d.askWhy(host, key, id, deadline)
+	return outcome
+}
+
+// askWhy sends a request for a key and returns its outcome and the reason given.
+func (d *deployment) askWhy(host, key, id, deadline string) (outcome, reason string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers[host]+"/v1/services/inventario/keys/"+key, strings.NewReader("{}"))
@@ -193,10 +199,10 @@
 	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return "Broken"
+		return "Broken", err.Error()
 	}
 	_ = response.Body.Close()
-	return response.Header.Get("Redwingsill-Outcome")
+	return response.Header.Get("Redwingsill-Outcome"), response.Header.Get("Redwingsill-Reason")
 }
 
 // allServed reports whether keys of every owner are answered at every running host.
--- a/io/commandline/processes_test.go
+++ b/io/commandline/processes_test.go
@@ -83,9 +83,9 @@
 		for worker := range 4 {
 			wait.Go(func() {
 				for i := 0; time.Now().Before(stop); i++ {
-					o := d.ask(other, fmt.Sprintf("key-%d", (worker*7+i)%40), newID(), "2s")
+					o, reason := d.askWhy(other, fmt.Sprintf("key-%d", (worker*7+i)%40), newID(), "2s")
 					mu.Lock()
-					outcomes[o]++
+					outcomes[o+reason]++
 					mu.Unlock()
 				}
 			})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -110,8 +110,8 @@
 	e.post(input{event: event.Received{From: from, Message: m}})
 }
 
-// Leave makes the host hand over what it holds, and returns when it holds nothing and no request is in flight, or the
-// context ends.
+// Leave makes the host hand over what it holds, and returns when the arbiter knows that it holds nothing and no request is
+// in flight, or the context ends.
 func (e *Entry) Leave(ctx context.Context) {
 	e.post(input{event: event.LeaveAsked{}})
 	ticker := time.NewTicker(tickInterval)
@@ -121,7 +121,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if e.inFlight.Load() == 0 && len(e.Cell().Member().Permits(e.clock.Now())) == 0 {
+			if e.inFlight.Load() == 0 && e.Cell().Member().HoldsNothing(e.clock.Now()) {
 				return
 			}
 		}
