One piece of code where the change had written two

Cause: read once more: who serves a unit was worked out in four places, an event was delivered to a host by two copies of one loop, every operators' command opened with the same lines, a request's turn was worked out twice on its way into the queue, and a victory carried a time that nothing read any more. Change: Assignment.ServerOf, deliver through deliverTo, asOperator; Queue.With returns the queue alone; the dead field and an unused parameter are gone. No decision, bound or test changed. Ruled out: joining the tables of message kinds and of statuses; alike in shape, they say different things.

--- a/core/arbiter/plans.go
+++ b/core/arbiter/plans.go
@@ -56,11 +56,8 @@
 		if a.holdings[from].isFree() || a.isUnitOrdered(u) || a.isOrdered(from) {
 			continue
 		}
-		to, _ := a.plan.next.OwnerOf(u.Service, u.Hash)
-		if !u.IsHotKey() {
-			to = a.plan.next.OwnerOfUnit(u)
-		}
-		byPair[[2]string{from, to}] = append(byPair[[2]string{from, to}], u)
+		pair := [2]string{from, a.plan.next.ServerOf(u)}
+		byPair[pair] = append(byPair[pair], u)
 	}
 	pairs := slices.SortedFunc(maps.Keys(byPair), func(x, y [2]string) int {
 		return strings.Compare(x[0]+"/"+x[1], y[0]+"/"+y[1])
@@ -129,11 +126,7 @@
 func (a Arbiter) published(now time.Time) Arbiter {
 	a.gainedAt = maps.Clone(a.gainedAt)
 	for u := range a.plan.moves {
-		to, _ := a.plan.next.OwnerOf(u.Service, u.Hash)
-		if !u.IsHotKey() {
-			to = a.plan.next.OwnerOfUnit(u)
-		}
-		a.gainedAt[to] = now
+		a.gainedAt[a.plan.next.ServerOf(u)] = now
 	}
 	a.assignment = a.plan.next
 	a.plan = nil
--- a/core/assignment/assignment.go
+++ b/core/assignment/assignment.go
@@ -46,6 +46,15 @@
 	return ""
 }
 
+// ServerOf returns the backend server that serves u, or "". A hot key without an owner of its own is served with its slot.
+func (a Assignment) ServerOf(u unit.Unit) string {
+	if !u.IsHotKey() {
+		return a.OwnerOfUnit(u)
+	}
+	server, _ := a.OwnerOf(u.Service, u.Hash)
+	return server
+}
+
 // UnitOf returns the unit that a hash belongs to.
 func (a Assignment) UnitOf(service string, hash uint64) unit.Unit {
 	u := unit.Unit{Service: service}
@@ -127,8 +136,7 @@
 		}
 	}
 	for _, u := range append(a.hotUnits(), next.hotUnits()...) {
-		before, _ := a.OwnerOf(u.Service, u.Hash)
-		after, _ := next.OwnerOf(u.Service, u.Hash)
+		before, after := a.ServerOf(u), next.ServerOf(u)
 		if before != "" && before != after {
 			moves[u] = before
 		}
--- a/core/candidate/canvass.go
+++ b/core/candidate/canvass.go
@@ -78,7 +78,7 @@
 		return victory.Victory{}, false
 	}
 	v := victory.Victory{Term: c.term, Quorums: c.quorums, LeaseRevision: c.leaseRevision,
-		Lease: c.lease, Since: c.since}
+		Lease: c.lease}
 	if c.leaseRevision != 0 {
 		v.LeaseSince = c.leaseAt
 	}
--- a/core/drive/wires.go
+++ b/core/drive/wires.go
@@ -54,16 +54,7 @@
 
 // deliver gives an event to a host after a delay, unless it is gone by then.
 func (d *Drive) deliver(name string, delay time.Duration, e event.Event) {
-	n := d.nodes[name]
-	d.After(delay, func() {
-		switch {
-		case !n.isAlive:
-		case n.isPaused:
-			n.inbox = append(n.inbox, e)
-		default:
-			d.step(n, e)
-		}
-	})
+	d.deliverTo(d.nodes[name], delay, e)
 }
 
 // deliverTo gives an event to one start of a host.
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -54,20 +54,19 @@
 	return i < 0 || q.lanes[i].items.Len() >= q.lanes[i].rank.QueueLimit
 }
 
-// With returns the queue with one more item, and the item as it stands in it.
-func (q Queue) With(i item.Item, now time.Time) (Queue, item.Item) {
+// With returns the queue with one more item.
+func (q Queue) With(i item.Item, now time.Time) Queue {
 	n := q.index(i.Request.Rank)
 	if n < 0 {
-		return q, i
+		return q
 	}
 	i.Rank = n
-	i.Turn = q.lanes[n].next(i.Request.Caller).turn()
 	q = q.withLane(n, q.lanes[n].with(i).withArrival(now))
 	q.size++
-	return q, i
+	return q
 }
 
-// Without returns the queue without an item that [Queue.With] or [Queue.Next] returned.
+// Without returns the queue without an item that [Queue.Next] or [Queue.Items] returned.
 func (q Queue) Without(i item.Item) Queue {
 	before := q.lanes[i.Rank].items.Len()
 	q = q.withLane(i.Rank, q.lanes[i.Rank].without(i))
@@ -81,7 +80,7 @@
 	var dropped []item.Item
 	for _, i := range q.Items() {
 		if next.HasRank(i.Request.Rank) {
-			next, _ = next.With(i, now)
+			next = next.With(i, now)
 		} else {
 			dropped = append(dropped, i)
 		}
--- a/core/steward/admission.go
+++ b/core/steward/admission.go
@@ -39,7 +39,7 @@
 	if refusal := s.overload(r, now); refusal != nil {
 		return s, s.tell(e.Ticket, refusal)
 	}
-	s.queue, _ = s.queue.With(item.Item{Ticket: e.Ticket, Request: r, Unit: u, Arrived: now}, now)
+	s.queue = s.queue.With(item.Item{Ticket: e.Ticket, Request: r, Unit: u, Arrived: now}, now)
 	s.retries = s.retries.WithRequest()
 	if r.MustNotRepeat() {
 		s.pending = maps.Clone(s.pending)
--- a/core/steward/endings.go
+++ b/core/steward/endings.go
@@ -49,7 +49,7 @@
 		if next, again := s.retries.WithRetry(); again && s.canRetry(run.item, now) {
 			s.retries = next
 			s.memory = s.memory.WithOutcome(run.item.Request.ID, e.Outcome)
-			s.queue, _ = s.queue.With(run.item, now)
+			s.queue = s.queue.With(run.item, now)
 			return s, nil
 		}
 	case outcome.Unknown:
--- a/core/steward/permits.go
+++ b/core/steward/permits.go
@@ -61,7 +61,7 @@
 }
 
 // adopt keeps the memory that another steward hands over, until the permit or the assignment it belongs to comes.
-func (s Steward) adopt(a message.Adopt, now time.Time) Steward {
+func (s Steward) adopt(a message.Adopt) Steward {
 	if len(a.Units) > 0 {
 		s.memory = s.memory.WithEntries(a.Entries, a.Cutoff)
 	}
@@ -106,13 +106,13 @@
 		}
 	}
 	for u := range s.assignment.Moves(next) {
-		if u.IsHotKey() && owns(next, s.server.Name, u) {
+		if u.IsHotKey() && next.ServerOf(u) == s.server.Name {
 			gained = append(gained, u)
 		}
 	}
 	for _, r := range s.releases {
 		for _, u := range r.order.Units {
-			if r.isDone && r.order.IsOver(next.Term, next.Version) && owns(next, s.server.Name, u) {
+			if r.isDone && r.order.IsOver(next.Term, next.Version) && next.ServerOf(u) == s.server.Name {
 				gained = append(gained, u)
 			}
 		}
@@ -120,15 +120,6 @@
 	return gained
 }
 
-// owns reports whether a server owns a unit, for a hot key also where it owns the key through its slot.
-func owns(a assignment.Assignment, server string, u unit.Unit) bool {
-	if !u.IsHotKey() {
-		return a.OwnerOfUnit(u) == server
-	}
-	owner, _ := a.OwnerOf(u.Service, u.Hash)
-	return owner == server
-}
-
 func (s Steward) configure(e event.Assigned) Steward {
 	if server, ok := e.Configuration.BackendServers[s.server.Name]; ok {
 		s.server = server
--- a/core/steward/steward.go
+++ b/core/steward/steward.go
@@ -119,7 +119,7 @@
 	case event.ReleaseAsked:
 		s, effects = s.release(e.Release, now)
 	case event.MemoryAdopted:
-		s = s.adopt(e.Adopt, now)
+		s = s.adopt(e.Adopt)
 	case event.Ticked:
 		s, effects = s.tick(now)
 	default:
--- a/core/victory/victory.go
+++ b/core/victory/victory.go
@@ -17,8 +17,6 @@
 	LeaseRevision int64
 	// LeaseSince is when the newest write of the lease was sent, or zero where the lease is not held.
 	LeaseSince time.Time
-	// Since is a time after which every promise was made.
-	Since time.Time
 	// PermitsEnd is when the last permit of every earlier arbiter has surely ended.
 	PermitsEnd time.Time
 	// Followed are the promises of the majority.
--- a/io/commandline/client.go
+++ b/io/commandline/client.go
@@ -40,6 +40,17 @@
 	return &client{base: c.String("operator"), token: c.String("operator-token"), http: &http.Client{Timeout: clientTimeout}}, wrong.err()
 }
 
+// asOperator returns the action of a command that speaks to an entry host as its settings say.
+func asOperator(act func(ctx context.Context, c *cli.Command, operators *client) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		operators, err := clientOf(c)
+		if err != nil {
+			return err
+		}
+		return act(ctx, c, operators)
+	}
+}
+
 // call sends a request and returns the answer's body. Errors carry the kind that the answer's status stands for.
 func (c *client) call(ctx context.Context, method, path string, body any) ([]byte, error) {
 	op := method + " " + path
--- a/io/commandline/observe.go
+++ b/io/commandline/observe.go
@@ -19,17 +19,13 @@
 		Name:  "get",
 		Usage: "show the configuration in force at an entry host",
 		Flags: clientFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			operators, err := clientOf(c)
-			if err != nil {
-				return err
-			}
+		Action: asOperator(func(ctx context.Context, c *cli.Command, operators *client) error {
 			found, text, err := operators.configuration(ctx)
 			if err != nil {
 				return err
 			}
 			return show(c, found, text)
-		},
+		}),
 	}
 }
 
@@ -38,11 +34,7 @@
 		Name:  "watch",
 		Usage: "show each new configuration as it comes into force, until interrupted",
 		Flags: clientFlags(&cli.IntFlag{Name: "count", Usage: "stop after so many; 0 is never"}),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			operators, err := clientOf(c)
-			if err != nil {
-				return err
-			}
+		Action: asOperator(func(ctx context.Context, c *cli.Command, operators *client) error {
 			after, shown := int64(0), 0
 			for limit := c.Int("count"); limit == 0 || shown < limit; {
 				text, err := operators.call(ctx, http.MethodGet, fmt.Sprintf("/v1/watch?after=%d", after), nil)
@@ -63,7 +55,7 @@
 				shown++
 			}
 			return nil
-		},
+		}),
 	}
 }
 
@@ -73,11 +65,7 @@
 		Usage:     "show how a file differs from the configuration in force",
 		ArgsUsage: "FILE",
 		Flags:     clientFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			operators, err := clientOf(c)
-			if err != nil {
-				return err
-			}
+		Action: asOperator(func(ctx context.Context, c *cli.Command, operators *client) error {
 			found, _, err := operators.configuration(ctx)
 			if err != nil {
 				return err
@@ -100,7 +88,7 @@
 			}
 			_, err = fmt.Fprintln(c.Root().Writer, strings.Join(current.Diff(next), "\n"))
 			return err
-		},
+		}),
 	}
 }
 
@@ -109,11 +97,7 @@
 		Name:  "history",
 		Usage: "show the newest accepted changes",
 		Flags: clientFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			operators, err := clientOf(c)
-			if err != nil {
-				return err
-			}
+		Action: asOperator(func(ctx context.Context, c *cli.Command, operators *client) error {
 			found, _, err := operators.configuration(ctx)
 			if err != nil {
 				return err
@@ -125,7 +109,7 @@
 				_, _ = fmt.Fprintf(c.Root().Writer, "%d\t%s\t%s\t%s\t%d resources\n", ch.Revision, ch.At.Format("2006-01-02T15:04:05Z07:00"), ch.By, ch.ID, len(ch.Summary))
 			}
 			return nil
-		},
+		}),
 	}
 }
 
