--- /dev/null
+++ b/core/attempt/attempt.go
@@ -0,0 +1,47 @@
+// Package attempt decides what follows when a request has been to a backend server.
+package attempt
+
+import (
+	"time"
+
+	"redwingsill/core/report"
+	"redwingsill/core/rule"
+)
+
+// Attempt is how far one request has come. The zero value has not been anywhere. It is immutable.
+type Attempt struct {
+	// Sent counts the backend servers that were sent the request.
+	Sent int
+	// MayHaveRun says that one of them may have run it.
+	MayHaveRun bool
+	// Excluded lists the lives that should not be tried again.
+	Excluded []string
+}
+
+// WithResult returns the attempt after a backend server.
+func (a Attempt) WithResult(life string, r report.Result) Attempt {
+	switch r {
+	case report.Unsent, report.Unreachable:
+	case report.Refused, report.NotOwner, report.Replaced:
+		a.Sent++
+	case report.Answered, report.Failed, report.Silent, report.Left:
+		a.Sent++
+		a.MayHaveRun = true
+	}
+	if r != report.NotOwner && r != report.Unsent {
+		a.Excluded = append(a.Excluded[:len(a.Excluded):len(a.Excluded)], life)
+	}
+	return a
+}
+
+// MayRepeat reports whether the request may be sent once more: where it can't have run, or may run more than once, and
+// the route, the time and the budget allow it. The budget is asked last, since asking draws on it.
+func (a Attempt) MayRepeat(of *rule.Rule, left, needed time.Duration, draw func() bool) bool {
+	switch {
+	case a.MayHaveRun && !of.MayRepeat, left < needed:
+		return false
+	case a.Sent == 0:
+		return true
+	}
+	return a.Sent < max(1, of.MaxAttempts) && draw()
+}
--- a/core/failure/failure.go
+++ b/core/failure/failure.go
@@ -26,3 +26,6 @@
 
 // Unwrap returns the cause.
 func (f Failure) Unwrap() error { return f.Cause }
+
+// IsKind reports whether the failure is of a class.
+func (f Failure) IsKind(k kind.Kind) bool { return f.Kind == k }
--- /dev/null
+++ b/core/notice/asked.go
@@ -0,0 +1,8 @@
+package notice
+
+import "redwingsill/core/ask"
+
+// Asked wants a slot.
+type Asked struct{ Ask ask.Ask }
+
+func (Asked) notice() {}
--- /dev/null
+++ b/core/notice/pong.go
@@ -0,0 +1,6 @@
+package notice
+
+// Pong says that it is.
+type Pong struct{}
+
+func (Pong) notice() {}
--- /dev/null
+++ b/core/notice/queued.go
@@ -0,0 +1,6 @@
+package notice
+
+// Queued says that an ask waits.
+type Queued struct{ Ticket uint64 }
+
+func (Queued) notice() {}
--- /dev/null
+++ b/core/notice/refused.go
@@ -0,0 +1,8 @@
+package notice
+
+import "redwingsill/core/placement"
+
+// Refused says that there will be no slot in time.
+type Refused struct{ Refuse placement.Refuse }
+
+func (Refused) notice() {}
--- /dev/null
+++ b/core/ownership/moves.go
@@ -0,0 +1,76 @@
+package ownership
+
+import (
+	"maps"
+	"time"
+
+	"redwingsill/core/holding"
+	"redwingsill/core/keyrange"
+	"redwingsill/core/order"
+)
+
+// withFenced takes a move on after the old owner was granted the range under a higher token.
+func (o Ownership) withFenced(r keyrange.Range, m move, result order.Result, now time.Time) Ownership {
+	m.grant = 0
+	switch result {
+	case order.Done:
+		m.stage = releasing
+	case order.Stale:
+		// A grant under a still higher token came first: the next try takes a newer one.
+		m.stage, m.isLateGrantPossible = releasing, true
+		m.retryAt = now.Add(o.terms.Retry)
+	case order.Lost, order.Unsent, order.Invalid:
+		m.retryAt = now.Add(o.terms.Retry)
+	}
+	return o.withMove(r, m)
+}
+
+// WithReleased returns the state after a release has ended. The handover is what the old owner left for the next one.
+func (o Ownership) WithReleased(id int64, result order.Result, handover string, now time.Time) Ownership {
+	r, ok := o.releases[id]
+	if !ok {
+		return o
+	}
+	o.releases = maps.Clone(o.releases)
+	delete(o.releases, id)
+	m, ok := o.moves[r]
+	if !ok || m.release != id {
+		return o
+	}
+	m.release = 0
+	if result == order.Done && m.stage == releasing {
+		m.stage, m.handover = freed, handover
+	} else {
+		m.retryAt = now.Add(o.terms.Retry)
+	}
+	return o.withMove(r, m)
+}
+
+// WithSaved returns the state after a map was made durable or not. A coordinator whose save is stale stops for good.
+func (o Ownership) WithSaved(save order.Save, result order.Result) Ownership {
+	if save.ID != o.save {
+		return o
+	}
+	o.save = 0
+	if result != order.Done {
+		o.isDeposed = true
+		return o
+	}
+	o.keys = save.Keys
+	if o.isReserving {
+		o.reserved = save.Fence
+	}
+	for _, r := range o.saved {
+		m := o.moves[r]
+		o = o.withoutMove(r)
+		o.renewals = maps.Clone(o.renewals)
+		if m.handover != "" {
+			o.renewals[r] = renewal{owner: m.to, fence: m.next, handover: m.handover}
+		}
+	}
+	o.saved = nil
+	return o
+}
+
+// Holdings returns the durable holdings.
+func (o Ownership) Holdings() []holding.Holding { return o.keys.Holdings() }
--- /dev/null
+++ b/core/ownership/ownership.go
@@ -0,0 +1,166 @@
+// Package ownership decides who owns the keys of one divided service: it is the coordinator's state. What it decides is
+// durable before any backend server hears of it, and no key goes to another backend server while the one before may
+// still hold it.
+package ownership
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"redwingsill/core/instance"
+	"redwingsill/core/keymap"
+	"redwingsill/core/keyrange"
+)
+
+// Ownership is the coordinator's state for one service. It is immutable.
+type Ownership struct {
+	terms Terms
+	// keys is the durable map. The fencing tokens from fence up to reserved are free.
+	keys     keymap.Map
+	fence    int64
+	reserved int64
+	// movesUntil and renewsUntil are when the coordinator must stop to move and to renew.
+	movesUntil  time.Time
+	renewsUntil time.Time
+	// inheritedUntil is until when an earlier coordinator's grants may hold at a backend server that can't be asked.
+	inheritedUntil time.Time
+	settledAt      time.Time
+	members        map[string]instance.Instance
+	known          map[string]life
+	renewals       map[keyrange.Range]renewal
+	moves          map[keyrange.Range]move
+	capacities     map[string]float64
+	grants         map[int64]grant
+	releases       map[int64]keyrange.Range
+	save           int64
+	saved          []keyrange.Range
+	isReserving    bool
+	lastID         int64
+	plannedAt      time.Time
+	isDeposed      bool
+}
+
+// New returns the state of a host that has just become the coordinator: the durable map as it was read, and the highest
+// fencing token that any coordinator has reserved.
+func New(t Terms, keys keymap.Map, fence int64, now time.Time) Ownership {
+	return Ownership{terms: t, keys: keys, fence: fence, reserved: fence,
+		inheritedUntil: now.Add(t.Extension + t.CallTimeout + t.LongestHold()), settledAt: now.Add(t.Settle),
+		members: map[string]instance.Instance{}, known: map[string]life{}, renewals: map[keyrange.Range]renewal{},
+		moves: map[keyrange.Range]move{}, grants: map[int64]grant{}, releases: map[int64]keyrange.Range{}}
+}
+
+// WithLease returns the state with the lease renewed until a time. Renewals of grants go on for a while after it.
+func (o Ownership) WithLease(until time.Time) Ownership {
+	o.movesUntil, o.renewsUntil = until, until.Add(o.terms.Extension)
+	return o
+}
+
+// WithMembers returns the state with the service's backend servers as discovery tells them. The addresses give the life
+// that now has each address, of any service.
+func (o Ownership) WithMembers(members []instance.Instance, addresses map[string]string, now time.Time) Ownership {
+	next := make(map[string]instance.Instance, len(members))
+	grew := false
+	for _, m := range members {
+		if _, ok := o.members[m.Life()]; !ok {
+			grew = true
+		}
+		next[m.Life()] = m
+	}
+	if grew && len(o.keys.Holdings()) == 0 {
+		o.settledAt = now.Add(o.terms.Settle)
+	}
+	o.members = next
+	o.known = maps.Clone(o.known)
+	for _, m := range members {
+		l := o.known[m.Life()]
+		l.instance = m
+		o.known[m.Life()] = l
+	}
+	for name, l := range o.known {
+		if _, ok := next[name]; !ok && l.isReplaced(members, addresses) {
+			l.isOver = true
+			o.known[name] = l
+		}
+	}
+	return o
+}
+
+// WithCapacities returns the state with how many average requests each life runs at the same time.
+func (o Ownership) WithCapacities(capacities map[string]float64) Ownership {
+	o.capacities = capacities
+	return o
+}
+
+// Keys returns the durable map.
+func (o Ownership) Keys() keymap.Map { return o.keys }
+
+// Moving returns the ranges that nobody may be asked for at present.
+func (o Ownership) Moving() []keyrange.Range {
+	var all []keyrange.Range
+	for r := range o.moves {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b keyrange.Range) int { return a.From - b.From })
+	return all
+}
+
+// IsActing reports whether the coordinator may still act at now.
+func (o Ownership) IsActing(now time.Time) bool { return !o.isDeposed && now.Before(o.renewsUntil) }
+
+// IsDeposed reports whether another coordinator has been seen to act.
+func (o Ownership) IsDeposed() bool { return o.isDeposed }
+
+func (o Ownership) withID() (Ownership, int64) {
+	o.lastID++
+	return o, o.lastID
+}
+
+// withFence returns the next fencing token, and whether one is free.
+func (o Ownership) withFence() (Ownership, int64, bool) {
+	if o.fence >= o.reserved {
+		return o, 0, false
+	}
+	o.fence++
+	return o, o.fence, true
+}
+
+// instanceOf returns what is known of a life, even of one that discovery no longer tells.
+func (o Ownership) instanceOf(name string) (life, bool) {
+	l, ok := o.known[name]
+	return l, ok && l.instance.Address != ""
+}
+
+func (o Ownership) withLife(name string, l life) Ownership {
+	o.known = maps.Clone(o.known)
+	o.known[name] = l
+	return o
+}
+
+func (o Ownership) withMove(r keyrange.Range, m move) Ownership {
+	o.moves = maps.Clone(o.moves)
+	o.moves[r] = m
+	return o
+}
+
+func (o Ownership) withoutMove(r keyrange.Range) Ownership {
+	o.moves = maps.Clone(o.moves)
+	delete(o.moves, r)
+	return o
+}
+
+// heldUntil returns until when a life may hold keys that it was granted.
+func (o Ownership) heldUntil(name string) time.Time {
+	sentAt := o.known[name].newest()
+	if sentAt.IsZero() {
+		return o.inheritedUntil
+	}
+	return latest(o.inheritedUntil, sentAt.Add(o.terms.CallTimeout+o.terms.LongestHold()))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/ownership/terms.go
@@ -0,0 +1,30 @@
+package ownership
+
+import "time"
+
+// Terms are the times that the coordinator keeps to.
+type Terms struct {
+	// Hold is how long a backend server holds keys from a grant's arrival.
+	Hold time.Duration
+	// ClockSlack is by how much a backend server's clock may run slow, as a part of the time.
+	ClockSlack float64
+	// CallTimeout is when a call to a backend server is given up; what was sent by then may still arrive up to here.
+	CallTimeout time.Duration
+	// Renew is the time between two renewals of a grant.
+	Renew time.Duration
+	// Retry is the time after which a grant without an answer is sent again.
+	Retry time.Duration
+	// Extension is how long grants are renewed after the lease while the store can't be reached.
+	Extension time.Duration
+	// Settle is how long the first map waits for more backend servers.
+	Settle time.Duration
+	// Plan is the time between two looks at the balance.
+	Plan time.Duration
+	// MostMoves bounds the ranges that move at the same time.
+	MostMoves int
+}
+
+// LongestHold returns how long a grant may hold by a slow clock.
+func (t Terms) LongestHold() time.Duration {
+	return time.Duration(float64(t.Hold) * (1 + t.ClockSlack))
+}
--- /dev/null
+++ b/core/placement/reason.go
@@ -0,0 +1,12 @@
+package placement
+
+// Reason says why an ask was refused.
+type Reason string
+
+// The reasons.
+const (
+	Overload  Reason = "Overload"  // the work ahead takes longer than the request can wait
+	NoServers Reason = "NoServers" // no backend server of the service is known
+	NoOwner   Reason = "NoOwner"   // nobody has owned the key for as long as the request can wait
+	Expired   Reason = "Expired"   // the deadline came while the request waited
+)
--- /dev/null
+++ b/core/pool/constants.go
@@ -0,0 +1,33 @@
+package pool
+
+import "time"
+
+const (
+	// unknownWork is the time that a request is thought to take before any was measured. Typical of the deployments
+	// that the router was built for.
+	unknownWork = 150 * time.Millisecond
+	// ownerWait bounds the time that a request waits for its key to get an owner: that of an ordinary move.
+	ownerWait = 1500 * time.Millisecond
+	// runSlack is how long after its deadline a request without a report counts as running: the report's way.
+	runSlack = 300 * time.Millisecond
+	// foreignHold is the time after which a server's own count of requests from elsewhere has lost its meaning: about
+	// the length of a request.
+	foreignHold = 250 * time.Millisecond
+	// warmFactor is how much slower a server is thought to be that has just started.
+	warmFactor = 2
+	// restFirst and restMost bound how long a server rests that can't be reached; it doubles with each failure in a row.
+	restFirst = 400 * time.Millisecond
+	restMost  = 3200 * time.Millisecond
+	// doubtful is the part of failed requests from which on work that must not repeat goes elsewhere.
+	doubtful = 0.25
+	// failureWeight is the part of the newest request in a server's rate of failures.
+	failureWeight = 0.2
+	// lateEvery is how often requests are looked through for those that have become late: a fraction of any objective.
+	lateEvery = 20 * time.Millisecond
+	// retryLeast and retryMost bound what a refused caller is told to wait.
+	retryLeast = 50 * time.Millisecond
+	retryMost  = 5 * time.Second
+	// abroadMargin is how much of the time to the objective an answer from the own data centre may be expected to take
+	// before one from elsewhere is considered: work varies by about twice its mean.
+	abroadMargin = 0.5
+)
--- /dev/null
+++ b/core/reshard/reshard.go
@@ -0,0 +1,283 @@
+// Package reshard decides which keys of a divided service should change their owner.
+package reshard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"redwingsill/core/holding"
+	"redwingsill/core/keyload"
+	"redwingsill/core/keymap"
+	"redwingsill/core/keyrange"
+)
+
+const (
+	// overload is the part of a server's capacity from which on it gives keys away: queues grow fast above it.
+	overload = 0.7
+	// imbalance is how many times the service's mean use a server must be used before it gives keys away.
+	imbalance = 1.25
+	// fullest is the use up to which a server is given keys.
+	fullest = 0.65
+	// newcomerPart is the part of the mean load that a server without keys is given.
+	newcomerPart = 0.7
+	// newcomerWidth is the part of an even share of keys that a newcomer is given where there is no load.
+	newcomerWidth = 0.3
+)
+
+// Plan is the moves that a map needs, worked out for the servers and the load of one moment.
+type Plan struct {
+	owners []owner
+	keys   keymap.Map
+	load   keyload.Load
+	work   time.Duration
+	now    time.Time
+	moves  []holding.Holding
+}
+
+// New returns a plan for the map. The capacities give, for each life that may own keys, how many requests of average
+// length it runs at the same time; work is that length.
+func New(keys keymap.Map, capacities map[string]float64, load keyload.Load, work time.Duration, now time.Time) Plan {
+	p := Plan{keys: keys, load: load, work: work, now: now}
+	for life, capacity := range capacities {
+		p.owners = append(p.owners, owner{life: life, capacity: capacity})
+	}
+	slices.SortFunc(p.owners, func(a, b owner) int { return cmp.Compare(a.life, b.life) })
+	for i := range p.owners {
+		p.owners[i].load = p.loadOf(p.owners[i].life)
+		p.owners[i].width = keys.Width(p.owners[i].life)
+	}
+	return p
+}
+
+// Moves returns up to so many ranges with the lives that should own them from now on. Ranges that nobody may hold come
+// first, then those for servers without keys, then those that relieve the busiest.
+func (p Plan) Moves(most int) []holding.Holding {
+	if len(p.owners) == 0 {
+		return nil
+	}
+	p.moves = nil
+	p.adopt()
+	p.welcome(most)
+	p.relieve(most)
+	return p.moves
+}
+
+// adopt gives away the ranges that nobody holds, or whose owner may no longer own any.
+func (p *Plan) adopt() {
+	if len(p.keys.Holdings()) == 0 {
+		p.spread()
+		return
+	}
+	var orphans []keyrange.Range
+	orphans = append(orphans, p.keys.Gaps()...)
+	for _, h := range p.keys.Holdings() {
+		if p.find(h.Owner) < 0 {
+			orphans = append(orphans, h.Range)
+		}
+	}
+	for _, r := range orphans {
+		for _, piece := range p.pieces(r) {
+			p.move(piece, p.coldest())
+		}
+	}
+}
+
+// spread divides all keys by capacity.
+func (p *Plan) spread() {
+	total := 0.0
+	for _, o := range p.owners {
+		total += o.capacity
+	}
+	from, sum := 0, 0.0
+	for i, o := range p.owners {
+		sum += o.capacity
+		to := int(sum/total*(keyrange.Last+1)) - 1
+		if i == len(p.owners)-1 {
+			to = keyrange.Last
+		}
+		if to >= from {
+			p.move(keyrange.Range{From: from, To: to}, i)
+		}
+		from = to + 1
+	}
+}
+
+// pieces cuts a range so that no piece has more load than half of a mean server's.
+func (p *Plan) pieces(r keyrange.Range) []keyrange.Range {
+	keys, rates := p.load.In(r, p.now)
+	bound := p.mean() * p.owners[0].capacity / 2
+	var cut []keyrange.Range
+	from, sum := r.From, 0.0
+	for i, key := range keys {
+		work := rates[i] * p.work.Seconds()
+		if sum > 0 && bound > 0 && sum+work > bound && key > from && len(cut) < len(p.owners) {
+			cut = append(cut, keyrange.Range{From: from, To: key - 1})
+			from, sum = key, 0
+		}
+		sum += work
+	}
+	return append(cut, keyrange.Range{From: from, To: r.To})
+}
+
+// welcome gives keys to servers that have none.
+func (p *Plan) welcome(most int) {
+	for i := range p.owners {
+		if p.owners[i].width > 0 || len(p.moves) >= most {
+			continue
+		}
+		from := p.hottest()
+		if from < 0 {
+			continue
+		}
+		want := min(p.mean()*p.owners[i].capacity*newcomerPart, p.owners[from].load*newcomerPart)
+		if r, ok := p.window(from, want); ok {
+			p.move(r, i)
+			continue
+		}
+		if r, ok := p.widest(); ok {
+			p.move(r, i)
+		}
+	}
+}
+
+// widest returns a part of the widest holding, for a server without keys.
+func (p *Plan) widest() (keyrange.Range, bool) {
+	var best keyrange.Range
+	for _, h := range p.keys.Holdings() {
+		if h.Range.Width() > best.Width() && !p.isMoving(h.Range) {
+			best = h.Range
+		}
+	}
+	width := int(newcomerWidth * float64(keyrange.Last+1) / float64(len(p.owners)))
+	width = min(width, best.Width()/2)
+	return keyrange.Range{From: best.To - width + 1, To: best.To}, width > 0
+}
+
+// relieve moves busy spans from the busiest servers to the idlest.
+func (p *Plan) relieve(most int) {
+	for tries := 0; len(p.moves) < most && tries < 2*most; tries++ {
+		from, to := p.hottest(), p.coldest()
+		if from < 0 || from == to {
+			return
+		}
+		hot, cold, mean := p.owners[from], p.owners[to], p.mean()
+		if hot.use() < overload || hot.use() < imbalance*mean || cold.use() > fullest {
+			return
+		}
+		target := min(overload, max(mean, 0.4))
+		want := min((hot.use()-target)*hot.capacity, (max(fullest, mean)-cold.use())*cold.capacity)
+		r, ok := p.window(from, want)
+		if !ok {
+			p.owners[from].isFixed = true
+			continue
+		}
+		p.move(r, to)
+	}
+}
+
+// window returns the narrowest span of a server's keys whose load is about what is wanted, and whether there is one.
+func (p *Plan) window(from int, want float64) (keyrange.Range, bool) {
+	if want <= 0 {
+		return keyrange.Range{}, false
+	}
+	var best keyrange.Range
+	found := false
+	for _, h := range p.keys.Holdings() {
+		if h.Owner != p.owners[from].life || p.isMoving(h.Range) {
+			continue
+		}
+		keys, rates := p.load.In(h.Range, p.now)
+		first, sum := 0, 0.0
+		for last := range keys {
+			sum += rates[last] * p.work.Seconds()
+			for first <= last && sum > want {
+				sum -= rates[first] * p.work.Seconds()
+				first++
+			}
+			r := keyrange.Range{}
+			if first <= last {
+				r = keyrange.Range{From: keys[first], To: keys[last]}
+			}
+			if first <= last && sum > want/2 && (!found || r.Width() < best.Width()) {
+				best, found = r, true
+			}
+		}
+	}
+	return best, found
+}
+
+func (p *Plan) move(r keyrange.Range, to int) {
+	work := p.workIn(r)
+	for _, part := range p.keys.In(r) {
+		if i := p.find(part.Owner); i >= 0 {
+			p.owners[i].load -= p.workIn(part.Range)
+			p.owners[i].width -= part.Range.Width()
+		}
+	}
+	p.owners[to].load += work
+	p.owners[to].width += r.Width()
+	p.moves = append(p.moves, holding.Holding{Range: r, Owner: p.owners[to].life})
+	p.keys = p.keys.With(holding.Holding{Range: r, Owner: p.owners[to].life, Fence: moved})
+}
+
+// moved marks the ranges of a plan that have moved already.
+const moved = -1
+
+func (p *Plan) isMoving(r keyrange.Range) bool {
+	return slices.ContainsFunc(p.moves, func(m holding.Holding) bool { return m.Range.Overlaps(r) })
+}
+
+func (p *Plan) workIn(r keyrange.Range) float64 {
+	_, rates := p.load.In(r, p.now)
+	total := 0.0
+	for _, rate := range rates {
+		total += rate
+	}
+	return total * p.work.Seconds()
+}
+
+func (p *Plan) loadOf(life string) float64 {
+	total := 0.0
+	for _, h := range p.keys.Holdings() {
+		if h.Owner == life {
+			total += p.workIn(h.Range)
+		}
+	}
+	return total
+}
+
+func (p *Plan) mean() float64 {
+	load, capacity := 0.0, 0.0
+	for _, o := range p.owners {
+		load += o.load
+		capacity += o.capacity
+	}
+	return load / capacity
+}
+
+func (p *Plan) find(life string) int {
+	return slices.IndexFunc(p.owners, func(o owner) bool { return o.life == life })
+}
+
+// hottest returns the owner that is used most, or -1.
+func (p *Plan) hottest() int {
+	best := -1
+	for i, o := range p.owners {
+		if o.width > 0 && !o.isFixed && (best < 0 || o.use() > p.owners[best].use()) {
+			best = i
+		}
+	}
+	return best
+}
+
+// coldest returns the owner that is used least; of those used alike, the one with the fewest keys for its capacity.
+func (p *Plan) coldest() int {
+	best := 0
+	for i, o := range p.owners {
+		if cmp.Or(cmp.Compare(o.use(), p.owners[best].use()), cmp.Compare(o.span(), p.owners[best].span())) < 0 {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/io/coordination/constants.go
@@ -0,0 +1,28 @@
+package coordination
+
+import "time"
+
+const (
+	// tick is the time between two looks at what time alone brings on: a fraction of any hold.
+	tick = 60 * time.Millisecond
+	// idleTick is the same at a host that is not the coordinator.
+	idleTick = 250 * time.Millisecond
+	// keeps is how often a lease is renewed within its length.
+	keeps = 3
+	// turn is how long each host waits after the one before it to try to become the coordinator: a few of the store's
+	// answers. mostTurn bounds it.
+	turn     = 60 * time.Millisecond
+	mostTurn = 900 * time.Millisecond
+	// campaignPause is the time after a try that failed.
+	campaignPause = 250 * time.Millisecond
+	// savePause is the time between two tries to write.
+	savePause = 150 * time.Millisecond
+	// resignTimeout bounds the call that gives the lease up.
+	resignTimeout = 500 * time.Millisecond
+	// resultBuffer holds the results of calls that end at the same time.
+	resultBuffer = 64
+	// leastFactor and mostFactor bound how a server's pace counts for its part of the keys, so that one odd time moves
+	// little.
+	leastFactor = 0.5
+	mostFactor  = 4
+)
--- /dev/null
+++ b/io/coordination/coordination.go
@@ -0,0 +1,232 @@
+// Package coordination makes one entry host the coordinator, by a lease in the store, and carries out what the
+// coordinator decides on the ownership of keys.
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strconv"
+	"time"
+
+	"redwingsill/core/directory"
+	"redwingsill/core/holding"
+	"redwingsill/core/instance"
+	"redwingsill/core/keyrange"
+	"redwingsill/core/ownership"
+	"redwingsill/core/rcu"
+	"redwingsill/core/roster"
+	"redwingsill/core/routing"
+	"redwingsill/io/desk"
+	"redwingsill/io/registry"
+	"redwingsill/io/task"
+)
+
+// Coordination is one host's part in it. Its state belongs to the goroutine of Run; all else reaches it by channels.
+type Coordination struct {
+	name      string
+	mark      string
+	terms     ownership.Terms
+	lease     time.Duration
+	store     Store
+	servers   Servers
+	registry  *registry.Registry
+	directory *rcu.Value[directory.Directory]
+	roster    *rcu.Value[roster.Roster]
+	routing   *rcu.Value[routing.Routing]
+	desk      *desk.Desk
+	now       func() time.Time
+	log       *slog.Logger
+	group     *task.Group
+	// results carries what ended calls change in the state.
+	results chan func()
+	changes chan struct{}
+
+	reign     reign
+	services  map[string]*divided
+	published map[string]publication
+	absentAt  time.Time
+	campaigns int
+}
+
+// New returns the part of a host. The incarnation must differ from start to start.
+func New(name, incarnation string, terms ownership.Terms, lease time.Duration, s Store, servers Servers, r *registry.Registry,
+	hosts *rcu.Value[directory.Directory], members *rcu.Value[roster.Roster], routes *rcu.Value[routing.Routing], d *desk.Desk,
+	now func() time.Time, log *slog.Logger, changes chan struct{}) *Coordination {
+	return &Coordination{name: name, mark: name + "/" + incarnation, terms: terms, lease: lease, store: s, servers: servers,
+		registry: r, directory: hosts, roster: members, routing: routes, desk: d, now: now, log: log,
+		results: make(chan func(), resultBuffer), changes: changes, services: map[string]*divided{},
+		published: map[string]publication{}}
+}
+
+// Run takes part until the context ends, and then gives the lease up.
+func (c *Coordination) Run(ctx context.Context) {
+	group, wait := task.New(ctx)
+	c.group = group
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.resign(wait)
+			return
+		case apply := <-c.results:
+			apply()
+		case <-c.changes:
+		case <-timer.C:
+			timer.Reset(c.pace())
+		}
+		c.step()
+	}
+}
+
+// pace returns the time until the next look: short while this host is the coordinator.
+func (c *Coordination) pace() time.Duration {
+	if c.reign.isCoordinator || len(c.services) > 0 {
+		return tick
+	}
+	return idleTick
+}
+
+// resign ends the lease, so that another host need not wait for its end.
+func (c *Coordination) resign(wait func()) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		wait()
+	}()
+	for done := false; !done; {
+		select {
+		case <-c.results:
+		case <-ended:
+			done = true
+		}
+	}
+	if !c.reign.isCoordinator {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	defer cancel()
+	if err := c.store.End(ctx, c.reign.lease); err != nil {
+		c.log.Warn("lease not given up; it ends by itself", "Error", err)
+		return
+	}
+	c.log.Info("lease given up")
+}
+
+// step does what can be done now.
+func (c *Coordination) step() {
+	now := c.now()
+	c.rule(now)
+	c.lookForServices(now)
+	for name, d := range c.services {
+		c.stepService(name, d, now)
+	}
+	c.publish()
+}
+
+// lookForServices begins with services that are divided and not looked after yet.
+func (c *Coordination) lookForServices(now time.Time) {
+	if !c.reign.isCoordinator {
+		return
+	}
+	for name, s := range c.routing.Read().Services {
+		if _, ok := c.services[name]; !ok && s.IsDivided {
+			d := &divided{}
+			c.services[name] = d
+			c.load(name, d)
+		}
+	}
+}
+
+// stepService moves one service's ownership on.
+func (c *Coordination) stepService(name string, d *divided, now time.Time) {
+	if !d.isLoaded {
+		return
+	}
+	if !d.state.IsActing(now) || !c.reign.isCoordinator && c.registry.CoordinatorRevision() != 0 &&
+		c.registry.CoordinatorRevision() != c.reign.revision {
+		c.log.Info("ownership given up", "Service", name, "Deposed", d.state.IsDeposed())
+		delete(c.services, name)
+		return
+	}
+	p := c.desk.Pool(name)
+	members := c.roster.Read().OfService(name)
+	speeds := p.Speeds()
+	capacities := make(map[string]float64, len(members))
+	for _, m := range members {
+		factor, ok := speeds[m.Life()]
+		if !ok {
+			factor = 1
+		}
+		capacities[m.Life()] = float64(m.Slots) / min(mostFactor, max(leastFactor, factor))
+	}
+	if !slices.Equal(members, d.members) {
+		d.members = members
+		d.state = d.state.WithMembers(members, c.addresses(), now)
+	}
+	state, orders := d.state.WithCapacities(capacities).WithTick(p.Load(), p.WorkOf(), now)
+	d.state = state
+	for _, o := range orders {
+		c.carryOut(name, d, o)
+	}
+}
+
+// addresses gives the life that has each address.
+func (c *Coordination) addresses() map[string]string {
+	all := map[string]string{}
+	for _, i := range c.roster.Read().All() {
+		all[i.Address] = i.Life()
+	}
+	return all
+}
+
+// publish tells the desk who owns which keys: where this host decides by its own state, else by what the store says.
+func (c *Coordination) publish() {
+	for name, s := range c.routing.Read().Services {
+		if !s.IsDivided {
+			continue
+		}
+		keys := c.registry.Owners(name)
+		var moving []keyrange.Range
+		if d, ok := c.services[name]; ok && d.isLoaded {
+			keys, moving = d.state.Keys(), d.state.Moving()
+		}
+		old, ok := c.published[name]
+		if ok && slices.Equal(old.holdings, keys.Holdings()) && slices.Equal(old.moving, moving) {
+			continue
+		}
+		c.published[name] = publication{holdings: keys.Holdings(), moving: moving}
+		c.desk.SetKeys(name, keys, moving)
+	}
+}
+
+func (c *Coordination) nextMark() string {
+	c.campaigns++
+	return c.mark + "/" + strconv.Itoa(c.campaigns)
+}
+
+// run makes a call in a goroutine and applies its result in the goroutine of Run.
+func (c *Coordination) run(call func(ctx context.Context) func()) {
+	c.group.Go(func(ctx context.Context) {
+		apply := call(ctx)
+		select {
+		case c.results <- apply:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// publication is what the desk was told last.
+type publication struct {
+	holdings []holding.Holding
+	moving   []keyrange.Range
+}
+
+// divided is a service whose keys have owners.
+type divided struct {
+	state    ownership.Ownership
+	isLoaded bool
+	revision int64
+	members  []instance.Instance
+}
--- /dev/null
+++ b/io/coordination/reign.go
@@ -0,0 +1,145 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"redwingsill/core/kind"
+	"redwingsill/core/transaction"
+	"redwingsill/io/registry"
+)
+
+// reign is the lease that makes this host the coordinator.
+type reign struct {
+	isCoordinator bool
+	lease         int64
+	// revision is that of the coordinator's key, on which every write depends.
+	revision int64
+	until    time.Time
+	// keptAt is when the lease was last renewed, and isKeeping that a renewal is under way.
+	keptAt        time.Time
+	isKeeping     bool
+	isCampaigning bool
+}
+
+// rule keeps the lease, or tries to get it where nobody has it.
+func (c *Coordination) rule(now time.Time) {
+	seen := c.registry.CoordinatorRevision()
+	switch {
+	case c.reign.isCoordinator && seen > c.reign.revision:
+		c.log.Warn("another host is the coordinator", "Revision", seen)
+		c.reign = reign{revision: c.reign.revision}
+	case c.reign.isCoordinator:
+		if !c.reign.isKeeping && now.Sub(c.reign.keptAt) >= c.lease/keeps {
+			c.keep(now)
+		}
+	case c.reign.isCampaigning || !c.registry.IsWhole() || c.directory.Read().Len() == 0:
+	case seen != 0 && seen != c.reign.revision:
+		c.absentAt = time.Time{}
+	default:
+		if c.absentAt.IsZero() {
+			c.absentAt = now
+		}
+		if now.Sub(c.absentAt) >= c.turn() {
+			c.campaign(now)
+		}
+	}
+}
+
+// turn returns how long this host lets others try first, so that not all try at the same time.
+func (c *Coordination) turn() time.Duration {
+	for i, h := range c.directory.Read().Order(registry.Coordinator) {
+		if h.Name == c.name {
+			return min(time.Duration(i)*turn, mostTurn)
+		}
+	}
+	return mostTurn
+}
+
+func (c *Coordination) campaign(now time.Time) {
+	c.reign.isCampaigning = true
+	c.absentAt = now.Add(campaignPause)
+	mark := c.nextMark()
+	c.run(func(ctx context.Context) func() {
+		began := c.now()
+		lease, length, err := c.store.Lease(ctx, c.lease)
+		if err != nil {
+			return func() { c.lost("lease", err) }
+		}
+		value, err := registry.EncodeCoordinator(c.name, mark)
+		if err != nil {
+			return func() { c.lost("encode", err) }
+		}
+		revision, err := c.store.Commit(ctx, transaction.Transaction{}.WithExpected(registry.Coordinator, 0).
+			WithPut(registry.Coordinator, value, lease))
+		if err != nil && kindOf(err) != kind.Conflict {
+			// The answer may be lost: what the key holds tells.
+			if r, failed := c.store.Get(ctx, registry.Coordinator); failed == nil && registry.MarkOf(r.Value) == mark {
+				revision, err = r.Revision, nil
+			}
+		}
+		if err != nil {
+			if failed := c.store.End(ctx, lease); failed != nil {
+				c.log.Debug("unused lease not ended", "Error", failed) // it ends by itself
+			}
+			return func() { c.lost("commit", err) }
+		}
+		return func() { c.elected(lease, revision, began, length) }
+	})
+}
+
+func (c *Coordination) lost(call string, err error) {
+	c.reign.isCampaigning = false
+	c.log.Info("not elected", "Call", call, "Error", err)
+}
+
+func (c *Coordination) elected(lease, revision int64, began time.Time, length time.Duration) {
+	previous := c.reign.revision
+	c.reign = reign{isCoordinator: true, lease: lease, revision: revision, until: began.Add(length), keptAt: began}
+	c.log.Info("elected", "Revision", revision, "Previous", previous)
+	for name, d := range c.services {
+		if !d.isLoaded {
+			delete(c.services, name)
+			continue
+		}
+		c.resume(name, d)
+	}
+}
+
+func (c *Coordination) keep(now time.Time) {
+	c.reign.isKeeping, c.reign.keptAt = true, now
+	lease := c.reign.lease
+	c.run(func(ctx context.Context) func() {
+		err := c.store.Keep(ctx, lease)
+		return func() {
+			if c.reign.lease != lease {
+				return
+			}
+			c.reign.isKeeping = false
+			switch {
+			case err == nil:
+				c.reign.until = now.Add(c.lease)
+				for _, d := range c.services {
+					d.state = d.state.WithLease(c.reign.until)
+				}
+			case kindOf(err) == kind.NotFound:
+				c.log.Warn("lease has ended", "Error", err)
+				c.reign = reign{revision: c.reign.revision}
+				c.absentAt = time.Time{}
+			default:
+				c.log.Warn("lease not renewed", "Error", err, "Until", c.reign.until.Sub(c.now()))
+			}
+		}
+	})
+}
+
+func kindOf(err error) kind.Kind {
+	for _, k := range []kind.Kind{kind.Conflict, kind.NotFound, kind.Unavailable, kind.Unknown} {
+		var failed interface{ IsKind(kind.Kind) bool }
+		if errors.As(err, &failed) && failed.IsKind(k) {
+			return k
+		}
+	}
+	return kind.Unknown
+}
--- /dev/null
+++ b/io/desk/desk.go
@@ -0,0 +1,138 @@
+// Package desk keeps the pools of an entry host and tells whoever asked for a slot what became of it.
+package desk
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"redwingsill/core/ask"
+	"redwingsill/core/instance"
+	"redwingsill/core/keymap"
+	"redwingsill/core/keyrange"
+	"redwingsill/core/placement"
+	"redwingsill/core/pool"
+	"redwingsill/core/rcu"
+	"redwingsill/core/report"
+)
+
+// Desk is the pools of one entry host by service. Its methods may be called at the same time; none waits.
+type Desk struct {
+	now   func() time.Time
+	pools *rcu.Value[map[string]*rcu.Value[pool.Pool]]
+	// askers gives, by ticket, the function that is told the placement.
+	askers sync.Map
+}
+
+// New returns a desk without pools.
+func New(now func() time.Time) *Desk {
+	return &Desk{now: now, pools: rcu.New(map[string]*rcu.Value[pool.Pool]{})}
+}
+
+// Ask wants a slot. The answer is called once, from any goroutine and perhaps before Ask returns, unless the ask is
+// dropped.
+func (d *Desk) Ask(a ask.Ask, answer func(placement.Placement)) {
+	d.askers.Store(a.Ticket, answer)
+	d.step(d.pool(a.Service), func(p pool.Pool) (pool.Pool, []placement.Placement) { return p.WithAsk(a, d.now()) })
+}
+
+// Drop takes an ask back. Without a service it is looked for in all pools.
+func (d *Desk) Drop(service string, ticket uint64) {
+	d.askers.Delete(ticket)
+	for name, p := range *d.pools.Read() {
+		if service == "" || service == name {
+			d.step(p, func(p pool.Pool) (pool.Pool, []placement.Placement) { return p.WithoutAsk(ticket, d.now()) })
+		}
+	}
+}
+
+// Report gives a slot back.
+func (d *Desk) Report(service string, r report.Report) {
+	d.step(d.pool(service), func(p pool.Pool) (pool.Pool, []placement.Placement) { return p.WithReport(r, d.now()) })
+}
+
+// Held frees the slots that a host had before a time and no longer names.
+func (d *Desk) Held(service string, host uint32, tickets []uint64, before time.Time) {
+	held := make(map[uint64]bool, len(tickets))
+	for _, t := range tickets {
+		held[t] = true
+	}
+	d.step(d.pool(service), func(p pool.Pool) (pool.Pool, []placement.Placement) {
+		return p.WithHeld(host, held, before, d.now())
+	})
+}
+
+// SetService tells whether a service is divided by key, and its backend servers.
+func (d *Desk) SetService(service string, isDivided bool, servers []instance.Instance) {
+	d.step(d.pool(service), func(p pool.Pool) (pool.Pool, []placement.Placement) {
+		return p.WithDivided(isDivided).WithServers(servers, d.now())
+	})
+}
+
+// SetKeys tells the owners of a service's keys and the ranges that are moving.
+func (d *Desk) SetKeys(service string, keys keymap.Map, moving []keyrange.Range) {
+	d.step(d.pool(service), func(p pool.Pool) (pool.Pool, []placement.Placement) { return p.WithKeys(keys, moving, d.now()) })
+}
+
+// SetShare tells which part of the slots the pool of a service may give out.
+func (d *Desk) SetShare(service string, share float64) {
+	p := d.pool(service)
+	if p.Read().Share() == share {
+		return
+	}
+	d.step(p, func(p pool.Pool) (pool.Pool, []placement.Placement) { return p.WithShare(share, d.now()) })
+}
+
+// Tick moves all pools on to now.
+func (d *Desk) Tick() {
+	for _, p := range *d.pools.Read() {
+		if p.Read().IsIdle() {
+			continue
+		}
+		d.step(p, func(p pool.Pool) (pool.Pool, []placement.Placement) { return p.WithTick(d.now()) })
+	}
+}
+
+// Pool returns the pool of a service as it is now.
+func (d *Desk) Pool(service string) pool.Pool { return d.pool(service).Load() }
+
+// pool returns the pool of a service, a new one where there is none.
+func (d *Desk) pool(service string) *rcu.Value[pool.Pool] {
+	if p, ok := (*d.pools.Read())[service]; ok {
+		return p
+	}
+	pools := d.pools.Update(func(old map[string]*rcu.Value[pool.Pool]) map[string]*rcu.Value[pool.Pool] {
+		if _, ok := old[service]; ok {
+			return old
+		}
+		next := maps.Clone(old)
+		next[service] = rcu.New(pool.New(false, 1))
+		return next
+	})
+	return pools[service]
+}
+
+// step replaces a pool by what a step makes of it, and tells those whose asks are answered by that.
+func (d *Desk) step(p *rcu.Value[pool.Pool], step func(pool.Pool) (pool.Pool, []placement.Placement)) {
+	var placed []placement.Placement
+	p.Update(func(old pool.Pool) pool.Pool {
+		var next pool.Pool
+		next, placed = step(old)
+		return next
+	})
+	for _, each := range placed {
+		if answer, ok := d.askers.LoadAndDelete(ticketOf(each)); ok {
+			answer.(func(placement.Placement))(each)
+		}
+	}
+}
+
+func ticketOf(p placement.Placement) uint64 {
+	switch p := p.(type) {
+	case placement.Place:
+		return p.Ticket
+	case placement.Refuse:
+		return p.Ticket
+	}
+	return 0
+}
--- /dev/null
+++ b/io/dispatch/hosts.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"time"
+
+	"redwingsill/core/notice"
+)
+
+// candidate is a host that may give out the slots of a service.
+type candidate struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// candidates returns the hosts to ask, best first: for work that needs an owner the coordinator, then the first ones of
+// the service's order that are not silent. All hosts that reach each other find the same ones.
+func (d *Dispatch) candidates(service string, hasKey bool) []candidate {
+	hosts := d.directory.Read()
+	silent := *d.silent.Read()
+	found := make([]candidate, 0, mostCandidates)
+	add := func(name string, address netip.AddrPort) {
+		if _, isSilent := silent[address]; isSilent && name != d.name || len(found) == mostCandidates {
+			return
+		}
+		if len(found) == 0 || found[0].Name != name {
+			found = append(found, candidate{Name: name, Address: address})
+		}
+	}
+	if hasKey {
+		if h, ok := hosts.Find(hosts.Coordinator); ok {
+			add(h.Name, h.Address)
+		}
+	}
+	for _, h := range hosts.Order(service) {
+		if len(found) == mostCandidates {
+			break
+		}
+		add(h.Name, h.Address)
+	}
+	return found
+}
+
+// suspect notes that a host does not answer.
+func (d *Dispatch) suspect(at netip.AddrPort, now time.Time) {
+	d.log.Info("entry host does not answer", "Address", at)
+	d.silent.Update(func(old map[netip.AddrPort]time.Time) map[netip.AddrPort]time.Time {
+		next := maps.Clone(old)
+		next[at] = now
+		return next
+	})
+}
+
+// heard notes that a host is there.
+func (d *Dispatch) heard(from netip.AddrPort) {
+	if _, ok := (*d.silent.Read())[from]; !ok {
+		return
+	}
+	d.log.Info("entry host answers again", "Address", from)
+	d.silent.Update(func(old map[netip.AddrPort]time.Time) map[netip.AddrPort]time.Time {
+		next := maps.Clone(old)
+		delete(next, from)
+		return next
+	})
+}
+
+// Silent returns how many known hosts do not answer.
+func (d *Dispatch) Silent() int { return len(*d.silent.Read()) }
+
+// Receive handles the socket's notices until the context ends.
+func (d *Dispatch) Receive(ctx context.Context) {
+	d.socket.Receive(ctx, d.Handle, func(err error) { d.log.Debug("datagram dropped", "Error", err) })
+}
+
+// Tick tells each host which of its slots are in use, tries silent hosts again, and sets how much of the slots the desk
+// may give out: all where other hosts ask it, else an even share, since others may be doing the same.
+func (d *Dispatch) Tick(services []string) {
+	now := d.now()
+	for address, since := range *d.silent.Read() {
+		if now.Sub(since) >= silentFor {
+			d.send(address, notice.Ping{})
+		}
+	}
+	d.tellHeld()
+	for _, service := range services {
+		d.desk.SetShare(service, d.share(service, now))
+	}
+}
+
+func (d *Dispatch) share(service string, now time.Time) float64 {
+	if at, ok := d.askedAt.Load(service); ok && now.Sub(at.(time.Time)) < mainFor {
+		return 1
+	}
+	hosts := d.directory.Read()
+	if order := hosts.Order(service); len(order) == 0 || order[0].Name == d.name || hosts.Coordinator == d.name {
+		return 1
+	}
+	return 1 / float64(hosts.Len())
+}
+
+// tellHeld tells each host that gave out slots lately which of them are in use, also when none is: a report may be lost.
+func (d *Dispatch) tellHeld() {
+	held := map[holder][]uint64{}
+	now := d.now()
+	d.holders.Range(func(key, usedAt any) bool {
+		held[key.(holder)] = nil
+		if now.Sub(usedAt.(time.Time)) > holderFor {
+			d.holders.Delete(key)
+		}
+		return true
+	})
+	d.slots.Range(func(_, value any) bool {
+		if s := value.(Slot); !s.isHere() {
+			h := holder{at: s.at, service: s.service}
+			held[h] = append(held[h], s.ticket)
+		}
+		return true
+	})
+	for h, tickets := range held {
+		if len(tickets) <= mostHeld { // a longer list would not name all, and what it leaves out would be freed
+			d.send(h.at, notice.Held{Service: h.service, Host: d.host, Tickets: tickets})
+		}
+	}
+}
--- /dev/null
+++ b/io/ingress/front.go
@@ -0,0 +1,108 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"redwingsill/core/limits"
+	"redwingsill/core/rcu"
+)
+
+// acceptPause is the pause after a connection could not be accepted, for want of descriptors mostly.
+const acceptPause = 20 * time.Millisecond
+
+// front serves a listener by an HTTP server whose limits can change: connections that are open keep theirs.
+type front struct {
+	ingress *Ingress
+	limits  limits.Limits
+	current *rcu.Value[*handed]
+	ends    chan error
+	servers []*http.Server
+}
+
+// handed is a listener whose connections another one accepted.
+type handed struct {
+	net.Listener
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (h *handed) Accept() (net.Conn, error) {
+	select {
+	case c := <-h.conns:
+		return c, nil
+	case <-h.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener. The listener behind it stays open.
+func (h *handed) Close() error { return nil }
+
+// Front serves a listener until the context ends, with the limits that the newest configuration sets. Once it has ended,
+// idle connections are closed; the returned function closes all.
+func (i *Ingress) Front(ctx context.Context, listener net.Listener, changed <-chan struct{}) (<-chan error, func()) {
+	f := &front{ingress: i, ends: make(chan error, 1)}
+	f.start(listener, i.routing.Read().Limits)
+	accepted := make(chan error, 1)
+	go func() { accepted <- f.accept(listener) }()
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			select {
+			case <-changed:
+				if l := i.routing.Read().Limits; l != f.limits {
+					f.start(listener, l)
+				}
+			case <-ctx.Done():
+				for _, s := range f.servers {
+					s.SetKeepAlivesEnabled(false)
+				}
+				ended <- nil
+				return
+			case err := <-accepted:
+				ended <- err
+				return
+			}
+		}
+	}()
+	return ended, func() {
+		_ = listener.Close() // no caller is taken any more
+		for _, s := range f.servers {
+			_ = s.Close() // the process ends
+		}
+	}
+}
+
+// start serves new connections by a server of other limits.
+func (f *front) start(listener net.Listener, l limits.Limits) {
+	next := &handed{Listener: listener, conns: make(chan net.Conn), done: make(chan struct{})}
+	server := f.ingress.Server(l)
+	f.limits = l
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(next) }() // ends with the process
+	if f.current == nil {
+		f.current = rcu.New(next)
+		return
+	}
+	f.current.Store(next)
+}
+
+func (f *front) accept(listener net.Listener) error {
+	for {
+		c, err := listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil:
+			f.ingress.log.Warn("connection not accepted", "Error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		f.current.Load().conns <- c
+	}
+}
--- /dev/null
+++ b/io/ingress/ingress.go
@@ -0,0 +1,269 @@
+// Package ingress is the HTTP front end for callers who address routes by host and path.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"redwingsill/core/ask"
+	"redwingsill/core/keyrange"
+	"redwingsill/core/limits"
+	"redwingsill/core/outcome"
+	"redwingsill/core/rcu"
+	"redwingsill/core/routing"
+	"redwingsill/core/rule"
+	"redwingsill/io/forward"
+	"redwingsill/io/headers"
+	"redwingsill/io/origin"
+)
+
+// Ingress turns callers' HTTP requests into requests to backend servers, and what became of them into HTTP answers.
+type Ingress struct {
+	names   headers.Headers
+	now     func() time.Time
+	log     *slog.Logger
+	routing *rcu.Value[routing.Routing]
+	forward *forward.Forward
+	// leavesAt is when this host stops, in Unix nanoseconds of now, or 0.
+	leavesAt atomic.Int64
+	// bodies is how many bytes of bodies are held.
+	bodies atomic.Int64
+	active atomic.Int64
+}
+
+// New returns a front end.
+func New(names headers.Headers, routes *rcu.Value[routing.Routing], f *forward.Forward, now func() time.Time,
+	log *slog.Logger) *Ingress {
+	return &Ingress{names: names, now: now, log: log, routing: routes, forward: f}
+}
+
+// Leave tells that this host stops at a time. From now on each answer closes its connection, and requests that would take
+// longer are refused.
+func (i *Ingress) Leave(at time.Time) { i.leavesAt.Store(at.UnixNano()) }
+
+// Active returns how many requests are under way.
+func (i *Ingress) Active() int64 { return i.active.Load() }
+
+// Server returns an HTTP server for the limits.
+func (i *Ingress) Server(l limits.Limits) *http.Server {
+	server := &http.Server{Handler: i, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+		MaxHeaderBytes: l.HeaderBytes, DisableGeneralOptionsHandler: true,
+		ErrorLog: slog.NewLogLogger(i.log.Handler(), slog.LevelDebug)}
+	server.SetKeepAlivesEnabled(true)
+	return server
+}
+
+// ServeHTTP serves one request.
+func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	i.active.Add(1)
+	defer i.active.Add(-1)
+	now := i.now()
+	w.Header()["Date"] = nil
+	leavesAt := i.leavesAt.Load()
+	if leavesAt != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	routes := i.routing.Read()
+	if !routes.IsKnown() {
+		i.refuse(w, r, http.StatusServiceUnavailable, unknownRetry, "no configuration yet")
+		return
+	}
+	path, _, _ := strings.Cut(targetOf(r), "?")
+	of, ok := routes.Table.Find(r.Host, path)
+	if !ok {
+		i.refuse(w, r, http.StatusNotFound, 0, "no route")
+		return
+	}
+	request, status, reason := i.parse(r, of, now)
+	if status != 0 {
+		i.refuse(w, r, status, 0, reason)
+		return
+	}
+	if leavesAt != 0 && now.Add(needed(of)).UnixNano() > leavesAt {
+		i.refuse(w, r, http.StatusServiceUnavailable, leavingRetry, "this host stops")
+		return
+	}
+	body, status, reason := i.body(w, r, request.Deadline, routes.Limits.BodyBytes, now)
+	defer i.bodies.Add(-int64(cap(body)))
+	if status != 0 {
+		w.Header().Set("Connection", "close")
+		i.refuse(w, r, status, leavingRetry, reason)
+		return
+	}
+	request.Body = body
+	answer, end := i.forward.Serve(r.Context(), of, request, keyOf(r.Header.Get(i.names.Key)))
+	if i.leavesAt.Load() != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	if answer != nil {
+		i.pass(w, answer)
+		return
+	}
+	switch end := end.(type) {
+	case outcome.NotRun:
+		w.Header().Set("Retry-After", strconv.FormatFloat(end.RetryAfter.Seconds(), 'f', 3, 64))
+		write(w, http.StatusServiceUnavailable, end.Reason)
+	case outcome.Unknown:
+		write(w, http.StatusBadGateway, end.Reason)
+	case outcome.Answered:
+	}
+}
+
+// needed returns how much time a request of a route is likely to take at the most.
+func needed(of *rule.Rule) time.Duration {
+	return min(neededMost, max(neededLeast, time.Duration(float64(of.Objective)*neededPart)))
+}
+
+// parse returns the request without its body, or a status and what is wrong.
+func (i *Ingress) parse(r *http.Request, of *rule.Rule, now time.Time) (origin.Request, int, string) {
+	request := origin.Request{Method: r.Method, Target: targetOf(r), Host: r.Host, Header: r.Header,
+		Attempt: r.Header.Get(i.names.Attempt), Deadline: now.Add(of.Timeout)}
+	if request.Attempt == "" || len(r.Header[i.names.Attempt]) > 1 {
+		return request, http.StatusBadRequest, "the request needs one " + i.names.Attempt
+	}
+	if value := r.Header.Get(i.names.Deadline); value != "" {
+		patience, err := strconv.ParseInt(value, 10, 64)
+		if err != nil || patience < 0 || patience > int64(mostPatience/time.Millisecond) {
+			return request, http.StatusBadRequest, i.names.Deadline + " is no number of milliseconds"
+		}
+		request.Deadline = now.Add(time.Duration(patience) * time.Millisecond)
+	}
+	if value := r.Header.Get(i.names.Key); value != "" && keyOf(value) == ask.NoKey {
+		return request, http.StatusBadRequest, i.names.Key + " is no key"
+	}
+	return request, 0, ""
+}
+
+// targetOf returns the path and query as the caller sent them.
+func targetOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func keyOf(value string) int {
+	key, err := strconv.Atoi(value)
+	if err != nil || key < 0 || key > keyrange.Last {
+		return ask.NoKey
+	}
+	return key
+}
+
+// body reads the whole body, or returns a status and what is wrong.
+func (i *Ingress) body(w http.ResponseWriter, r *http.Request, deadline time.Time, most int64, now time.Time) ([]byte, int, string) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, 0, ""
+	}
+	if most <= 0 {
+		most = defaultBody
+	}
+	if r.ContentLength > most {
+		return nil, http.StatusRequestEntityTooLarge, "the body is too long"
+	}
+	if i.bodies.Load()+max(r.ContentLength, 0) > mostBodies {
+		return nil, http.StatusServiceUnavailable, "too many long bodies at the same time"
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(deadline.Sub(now))); err != nil {
+		i.log.Debug("no deadline for a body", "Error", err) // the body is then bounded by its length alone
+	}
+	body, err := read(http.MaxBytesReader(w, r.Body, most), r.ContentLength)
+	i.bodies.Add(int64(cap(body)))
+	if reset := control.SetReadDeadline(time.Time{}); reset != nil {
+		i.log.Debug("deadline of a body kept", "Error", reset) // the connection ends at it, which callers see as a close
+	}
+	var tooLong *http.MaxBytesError
+	var failed net.Error
+	switch {
+	case errors.As(err, &tooLong):
+		return body, http.StatusRequestEntityTooLarge, "the body is too long"
+	case errors.As(err, &failed) && failed.Timeout():
+		return body, http.StatusRequestTimeout, "the body did not come in time"
+	case err != nil:
+		return body, http.StatusBadRequest, "the body is broken: " + err.Error()
+	}
+	return body, 0, ""
+}
+
+func read(from io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(from)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(from, body); err != nil {
+		return body, err
+	}
+	// The read of the end lets net/http watch for the caller's close.
+	if _, err := from.Read(make([]byte, 1)); err != nil && err != io.EOF {
+		return body, err
+	}
+	return body, nil
+}
+
+// pass hands a backend server's answer on.
+func (i *Ingress) pass(w http.ResponseWriter, a *origin.Answer) {
+	h := w.Header()
+	for name, values := range a.Header {
+		if !headers.IsHop(name, a.Header["Connection"]) && name != "Content-Length" {
+			h[name] = values
+		}
+	}
+	if a.Header["Content-Type"] == nil {
+		h["Content-Type"] = nil
+	}
+	if a.Status >= http.StatusOK && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body) // the caller has left if this fails, and net/http ends the connection
+}
+
+// refuse answers a request that goes to no backend server.
+func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, status int, retryAfter time.Duration, reason string) {
+	if retryAfter > 0 && (status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout) {
+		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	i.log.Info("request refused", "ID", r.Header.Get(i.names.Attempt), "Status", status, "Reason", reason, "Host", r.Host,
+		"Path", r.URL.Path, "Configuration", i.routing.Read().Version)
+	write(w, status, reason)
+}
+
+func write(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)+1))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text+"\n") // the caller has left if this fails
+}
+
+// Readiness returns the handler that tells whether the host takes callers.
+func Readiness(isReady func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !isReady() {
+			write(w, http.StatusServiceUnavailable, "not ready")
+			return
+		}
+		write(w, http.StatusOK, "ready")
+	})
+}
+
+// Serve serves the listener until the context ends and reports how it ended.
+func Serve(ctx context.Context, server *http.Server, listener net.Listener) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		ended <- err
+	}()
+	return ended
+}
