--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -32,8 +32,11 @@
 	log     *slog.Logger
 	routing *rcu.Value[routing.Routing]
 	forward *forward.Forward
-	// leavesAt is when this host stops, in Unix nanoseconds of now, or 0.
-	leavesAt atomic.Int64
+	// leaving tells when this host stops, once that is known.
+	leaving atomic.Pointer[leaving]
+	// stopped ends when requests are given up that are still under way.
+	stopped context.Context
+	stop    context.CancelFunc
 	// bodies is how many bytes of bodies are held.
 	bodies atomic.Int64
 	active atomic.Int64
@@ -42,12 +45,19 @@
 // New returns a front end.
 func New(names headers.Headers, routes *rcu.Value[routing.Routing], f *forward.Forward, now func() time.Time,
 	log *slog.Logger) *Ingress {
-	return &Ingress{names: names, now: now, log: log, routing: routes, forward: f}
+	i := &Ingress{names: names, now: now, log: log, routing: routes, forward: f}
+	i.stopped, i.stop = context.WithCancel(context.Background())
+	return i
 }
 
-// Leave tells that this host stops at a time. From now on each answer closes its connection, and requests that would take
-// longer are refused.
-func (i *Ingress) Leave(at time.Time) { i.leavesAt.Store(at.UnixNano()) }
+// Leave tells that this host stops at a time. From now on each answer closes its connection, and requests are refused
+// that would take longer, or that come when the platform should send none any more.
+func (i *Ingress) Leave(lastRequest, at time.Time) {
+	i.leaving.Store(&leaving{lastRequest: lastRequest, at: at})
+}
+
+// Stop answers what is still under way.
+func (i *Ingress) Stop() { i.stop() }
 
 // Active returns how many requests are under way.
 func (i *Ingress) Active() int64 { return i.active.Load() }
@@ -67,8 +77,8 @@
 	defer i.active.Add(-1)
 	now := i.now()
 	w.Header()["Date"] = nil
-	leavesAt := i.leavesAt.Load()
-	if leavesAt != 0 {
+	leaves := i.leaving.Load()
+	if leaves != nil {
 		w.Header().Set("Connection", "close")
 	}
 	routes := i.routing.Read()
@@ -87,7 +97,7 @@
 		i.refuse(w, r, status, 0, reason)
 		return
 	}
-	if leavesAt != 0 && now.Add(needed(of)).UnixNano() > leavesAt {
+	if leaves != nil && leaves.isTooLate(now, needed(of)) {
 		i.refuse(w, r, http.StatusServiceUnavailable, leavingRetry, "this host stops")
 		return
 	}
@@ -99,8 +109,11 @@
 		return
 	}
 	request.Body = body
-	answer, end := i.forward.Serve(r.Context(), of, request, keyOf(r.Header.Get(i.names.Key)))
-	if i.leavesAt.Load() != 0 {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(i.stopped, cancel)()
+	answer, end := i.forward.Serve(ctx, of, request, keyOf(r.Header.Get(i.names.Key)))
+	if i.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if answer != nil {
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -31,6 +31,14 @@
 	})
 }
 
+// reset closes the connection so that nothing that was written may still arrive.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
+	}
+	c.close()
+}
+
 // isQuiet reports whether the peer has sent nothing and not closed since the last answer.
 func (c *conn) isQuiet() bool {
 	if c.reader.Buffered() > 0 {
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -53,9 +53,12 @@
 	if !stop() {
 		err = errors.Join(err, ctx.Err())
 	}
-	if err != nil || answer.isLast || c.reader.Buffered() > 0 || ctx.Err() != nil {
+	switch {
+	case err != nil || ctx.Err() != nil:
+		c.reset()
+	case answer.isLast || c.reader.Buffered() > 0:
 		c.close()
-	} else {
+	default:
 		o.conns.put(c, answer.keepAlive)
 	}
 	if err != nil {
@@ -121,7 +124,7 @@
 			answer.isLast = true // the answer came before the whole request was taken
 		}
 	default:
-		c.close() // ends the write; nothing else may follow on this connection
+		c.reset() // ends the write; nothing else may follow on this connection
 		<-sent
 		if answer != nil {
 			answer.isLast = true
