--- a/io/follow/constants.go
+++ b/io/follow/constants.go
@@ -6,5 +6,5 @@
 // and calls that are refused cost as much as others.
 const (
 	firstPause = 100 * time.Millisecond
-	mostPause  = 800 * time.Millisecond
+	mostPause  = 400 * time.Millisecond
 )
