Keys of waiting requests move to servers that are free, and the store is read for less

Owners lie under a prefix that nobody watches, hosts are polled with stale reads, and a silent coordinator is looked for at once.

--- a/core/keyload/keyload.go
+++ b/core/keyload/keyload.go
@@ -8,7 +8,7 @@
 
 	"github.com/benbjohnson/immutable"
 
-	"redwingsill/core/keyrange"
+	"redwingsill/core/keyrates"
 )
 
 // halfLife is the time in which what was measured loses half of its weight. Hot spans last some seconds, so it is short.
@@ -31,13 +31,12 @@
 	return Load{keys: l.keys.Set(key, count{value: c.at(now) + 1, since: now})}
 }
 
-// In returns the keys of a range that have work, in order, and the rate of requests for each, a second.
-func (l Load) In(r keyrange.Range, now time.Time) ([]int, []float64) {
-	var keys []int
+// Rates returns the rate of requests for each key at now.
+func (l Load) Rates(now time.Time) keyrates.Rates {
+	keys := make([]int, 0, l.keys.Len())
 	for itr := l.keys.Iterator(); !itr.Done(); {
-		if key, _, _ := itr.Next(); r.Contains(key) {
-			keys = append(keys, key)
-		}
+		key, _, _ := itr.Next()
+		keys = append(keys, key)
 	}
 	slices.Sort(keys)
 	rates := make([]float64, len(keys))
@@ -45,7 +44,7 @@
 		c, _ := l.keys.Get(key)
 		rates[i] = c.at(now) * math.Ln2 / halfLife.Seconds()
 	}
-	return keys, rates
+	return keyrates.New(keys, rates)
 }
 
 // Pruned returns the load without keys that have hardly any work left.
--- /dev/null
+++ b/core/order/end.go
@@ -0,0 +1,7 @@
+package order
+
+// End is how one order ended.
+type End struct {
+	ID     int64
+	Result Result
+}
--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -12,45 +12,32 @@
 func (o Ownership) withGrant(id int64, r keyrange.Range, owner string, now time.Time) Ownership {
 	o.grants = maps.Clone(o.grants)
 	o.grants[id] = grant{owner: owner, of: r}
-	return o.withLife(owner, o.known[owner].withOpen(id, now))
+	return o.withLife(owner, o.known[owner].withOpen(now, id))
 }
 
-// WithGranted returns the state after a grant has ended.
-func (o Ownership) WithGranted(id int64, result order.Result, now time.Time) Ownership {
-	g, ok := o.grants[id]
-	if !ok {
-		return o
-	}
-	o.grants = maps.Clone(o.grants)
-	delete(o.grants, id)
-	l := o.known[g.owner].withEnd(id, result)
-	if result == order.Lost {
-		l.lateUntil = latest(l.lateUntil, now.Add(o.terms.LongestHold()))
-	}
-	o = o.withLife(g.owner, l)
-	if m, ok := o.moves[g.of]; ok && m.grant == id {
-		return o.withFenced(g.of, m, result, now)
-	}
-	if due, ok := o.renewals[g.of]; ok && due.id == id {
-		return o.withRenewed(g.of, due, result, now)
-	}
-	return o
-}
-
-func (o Ownership) withRenewed(r keyrange.Range, due renewal, result order.Result, now time.Time) Ownership {
-	due.isOpen = false
-	switch result {
-	case order.Done:
-		due.handover = ""
-	case order.Lost, order.Unsent, order.Invalid:
-		due.sentAt = now.Add(o.terms.Retry - o.terms.Renew)
-	case order.Stale:
-		// An earlier coordinator had raised the token before it was lost. The owner stays, under a higher one.
-		if _, isMoving := o.moves[r]; !isMoving {
-			o = o.withMove(r, move{to: due.owner, stage: freed})
+// WithGranted returns the state after grants have ended. They are taken together, since a coordinator has many.
+func (o Ownership) WithGranted(ends []order.End, now time.Time) Ownership {
+	o.grants, o.known, o.renewals = maps.Clone(o.grants), maps.Clone(o.known), maps.Clone(o.renewals)
+	for _, e := range ends {
+		g, ok := o.grants[e.ID]
+		if !ok {
+			continue
+		}
+		delete(o.grants, e.ID)
+		l := o.known[g.owner].withEnd(e)
+		if e.Result == order.Lost {
+			l.lateUntil = latest(l.lateUntil, now.Add(o.terms.LongestHold()))
+		}
+		o.known[g.owner] = l
+		if m, ok := o.moves[g.of]; ok && m.grant == e.ID {
+			o = o.withFenced(g.of, m, e.Result, now)
+		} else if due, ok := o.renewals[g.of]; ok && due.id == e.ID {
+			o.renewals[g.of] = due.withEnd(e.Result, o.terms, now)
+			// An earlier coordinator had raised the token before it was lost: the owner stays, under a higher one.
+			if _, isMoving := o.moves[g.of]; !isMoving && e.Result == order.Stale {
+				o = o.withMove(g.of, move{to: due.owner, stage: freed})
+			}
 		}
 	}
-	o.renewals = maps.Clone(o.renewals)
-	o.renewals[r] = due
 	return o
 }
--- a/core/ownership/life.go
+++ b/core/ownership/life.go
@@ -29,22 +29,24 @@
 	return at
 }
 
-func (l life) withOpen(id int64, now time.Time) life {
-	next := make(map[int64]time.Time, len(l.open)+1)
+func (l life) withOpen(now time.Time, ids ...int64) life {
+	next := make(map[int64]time.Time, len(l.open)+len(ids))
 	maps.Copy(next, l.open)
-	next[id] = now
+	for _, id := range ids {
+		next[id] = now
+	}
 	l.open = next
 	return l
 }
 
-func (l life) withEnd(id int64, result order.Result) life {
-	sent, ok := l.open[id]
+func (l life) withEnd(e order.End) life {
+	sent, ok := l.open[e.ID]
 	if !ok {
 		return l
 	}
 	l.open = maps.Clone(l.open)
-	delete(l.open, id)
-	if result != order.Unsent {
+	delete(l.open, e.ID)
+	if e.Result != order.Unsent {
 		l.sentAt = latest(l.sentAt, sent)
 	}
 	return l
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -47,7 +47,7 @@
 }
 
 // WithSaved returns the state after a map was made durable or not. A coordinator whose save is stale stops for good.
-func (o Ownership) WithSaved(save order.Save, result order.Result) Ownership {
+func (o Ownership) WithSaved(save order.Save, result order.Result, now time.Time) Ownership {
 	if save.ID != o.save {
 		return o
 	}
@@ -64,9 +64,7 @@
 		m := o.moves[r]
 		o = o.withoutMove(r)
 		o.renewals = maps.Clone(o.renewals)
-		if m.handover != "" {
-			o.renewals[r] = renewal{owner: m.to, fence: m.next, handover: m.handover}
-		}
+		o.renewals[r] = renewal{owner: m.to, fence: m.next, handover: m.handover, movedAt: now, isNew: true}
 	}
 	o.saved = nil
 	return o
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -20,6 +20,8 @@
 	keys     keymap.Map
 	fence    int64
 	reserved int64
+	// first is the fencing token up to which owners were granted their keys by an earlier coordinator.
+	first int64
 	// movesUntil and renewsUntil are when the coordinator must stop to move and to renew.
 	movesUntil  time.Time
 	renewsUntil time.Time
@@ -38,13 +40,14 @@
 	isReserving    bool
 	lastID         int64
 	plannedAt      time.Time
+	balancedAt     time.Time
 	isDeposed      bool
 }
 
 // New returns the state of a host that has just become the coordinator: the durable map as it was read, and the highest
 // fencing token that any coordinator has reserved.
 func New(t Terms, keys keymap.Map, fence int64, now time.Time) Ownership {
-	return Ownership{terms: t, keys: keys, fence: fence, reserved: fence,
+	return Ownership{terms: t, keys: keys, fence: fence, reserved: fence, first: fence,
 		inheritedUntil: now.Add(t.Extension + t.CallTimeout + t.LongestHold()), settledAt: now.Add(t.Settle),
 		members: map[string]instance.Instance{}, known: map[string]life{}, renewals: map[keyrange.Range]renewal{},
 		moves: map[keyrange.Range]move{}, grants: map[int64]grant{}, releases: map[int64]keyrange.Range{}}
@@ -95,8 +98,20 @@
 // Keys returns the durable map.
 func (o Ownership) Keys() keymap.Map { return o.keys }
 
-// Moving returns the ranges that nobody may be asked for at present.
-func (o Ownership) Moving() []keyrange.Range {
+// Unserved returns the ranges that nobody may be asked for at present: those that move, and those whose new owner has not
+// acknowledged them.
+func (o Ownership) Unserved() []keyrange.Range {
+	all := o.moving()
+	for r, g := range o.renewals {
+		if g.isNew {
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(a, b keyrange.Range) int { return a.From - b.From })
+	return all
+}
+
+func (o Ownership) moving() []keyrange.Range {
 	var all []keyrange.Range
 	for r := range o.moves {
 		all = append(all, r)
--- a/core/ownership/renewal.go
+++ b/core/ownership/renewal.go
@@ -1,6 +1,10 @@
 package ownership
 
-import "time"
+import (
+	"time"
+
+	"redwingsill/core/order"
+)
 
 // renewal is the grants of one range.
 type renewal struct {
@@ -10,4 +14,29 @@
 	sentAt   time.Time
 	isOpen   bool
 	handover string
+	// movedAt is when the owner got the range.
+	movedAt time.Time
+	// isNew says that the owner has not acknowledged the range yet.
+	isNew bool
+}
+
+// withEnd returns the renewal after its grant has ended.
+func (g renewal) withEnd(result order.Result, t Terms, now time.Time) renewal {
+	g.isOpen = false
+	switch result {
+	case order.Done:
+		g.handover, g.isNew = "", false
+	case order.Lost, order.Unsent, order.Invalid:
+		g.sentAt = now.Add(t.Retry - t.Renew)
+	case order.Stale:
+	}
+	return g
+}
+
+// isDue reports whether the grant should be sent.
+func (g renewal) isDue(t Terms, now time.Time) bool {
+	if g.isOpen {
+		return now.Sub(g.sentAt) >= t.CallTimeout
+	}
+	return now.Sub(g.sentAt) >= t.Renew
 }
--- a/core/ownership/terms.go
+++ b/core/ownership/terms.go
@@ -18,8 +18,11 @@
 	Extension time.Duration
 	// Settle is how long the first map waits for more backend servers.
 	Settle time.Duration
-	// Plan is the time between two looks at the balance.
+	// Plan is the time between two looks at the balance, and Look between two looks at requests that wait.
 	Plan time.Duration
+	Look time.Duration
+	// Stay is how long a range stays that has moved, unless its owner leaves. It keeps keys from going to and fro.
+	Stay time.Duration
 	// MostMoves bounds the ranges that move at the same time.
 	MostMoves int
 }
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -2,11 +2,9 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"redwingsill/core/holding"
-	"redwingsill/core/keyload"
 	"redwingsill/core/keyrange"
 	"redwingsill/core/order"
 	"redwingsill/core/reshard"
@@ -15,9 +13,9 @@
 // fenceBlock is how many fencing tokens are reserved at once, so that few moves wait for the store.
 const fenceBlock = 1 << 20
 
-// WithTick returns the state at now, and what to do: moves that can go on, grants to renew, and, from time to time, new
-// moves for the load.
-func (o Ownership) WithTick(load keyload.Load, work time.Duration, now time.Time) (Ownership, []order.Order) {
+// WithTick returns the state at now, and what to do: moves that can go on, grants to renew, new moves for requests that
+// wait and, from time to time, for the load.
+func (o Ownership) WithTick(q Queues, now time.Time) (Ownership, []order.Order) {
 	if !o.IsActing(now) {
 		return o, nil
 	}
@@ -26,10 +24,10 @@
 		if o.fence+int64(o.terms.MostMoves)*4 > o.reserved && o.save == 0 {
 			o, orders = o.withSave(orders, true)
 		}
-		if now.Sub(o.plannedAt) >= o.terms.Plan && !now.Before(o.settledAt) {
-			o = o.planned(load, work, now)
+		if !now.Before(o.settledAt) {
+			o = o.planned(q, now)
 		}
-		for _, r := range o.Moving() {
+		for _, r := range o.moving() {
 			o, orders = o.withProgress(r, orders, now)
 		}
 		if o.save == 0 && o.isAnyFreed() {
@@ -40,8 +38,15 @@
 }
 
 // planned returns the state with the moves that the map and the load call for.
-func (o Ownership) planned(load keyload.Load, work time.Duration, now time.Time) Ownership {
+func (o Ownership) planned(q Queues, now time.Time) Ownership {
+	balances := now.Sub(o.balancedAt) >= o.terms.Plan
+	if !balances && (now.Sub(o.plannedAt) < o.terms.Look || q.Waiting() == 0 && !o.hasOrphans()) {
+		return o
+	}
 	o.plannedAt = now
+	if balances {
+		o.balancedAt = now
+	}
 	capacities := map[string]float64{}
 	for name, m := range o.members {
 		if m.IsLeaving {
@@ -61,7 +66,7 @@
 	if len(keys.Holdings()) == 0 || len(keys.Gaps()) > 0 {
 		room = max(room, len(capacities))
 	}
-	for _, wanted := range reshard.New(keys, capacities, load, work, now).Moves(max(0, room)) {
+	for _, wanted := range reshard.New(keys, capacities, q.Load().Rates(now), q.Pressures(now), q.WorkOf()).WithSettling(o.settling(now)).Moves(max(0, room), balances) {
 		if len(o.moves) >= o.terms.MostMoves && !o.isOrphan(wanted.Range) {
 			break
 		}
@@ -72,6 +77,27 @@
 	return o
 }
 
+// settling returns the ranges that have moved just now.
+func (o Ownership) settling(now time.Time) []keyrange.Range {
+	var all []keyrange.Range
+	for r, g := range o.renewals {
+		if now.Sub(g.movedAt) < o.terms.Stay {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// hasOrphans reports whether keys have no owner that may keep them.
+func (o Ownership) hasOrphans() bool {
+	for _, h := range o.keys.Holdings() {
+		if m, ok := o.members[h.Owner]; !ok || m.IsLeaving {
+			return true
+		}
+	}
+	return len(o.keys.Gaps()) > 0
+}
+
 // isOrphan reports whether the range has no owner that may keep it.
 func (o Ownership) isOrphan(r keyrange.Range) bool {
 	for _, h := range o.keys.In(r) {
@@ -84,16 +110,8 @@
 
 // settledParts returns the parts of a range that are not moving, cut so that each has one holding or none.
 func (o Ownership) settledParts(r keyrange.Range) []keyrange.Range {
-	left := []keyrange.Range{r}
-	for moving := range o.moves {
-		var next []keyrange.Range
-		for _, part := range left {
-			next = append(next, part.Minus(moving)...)
-		}
-		left = next
-	}
 	var parts []keyrange.Range
-	for _, part := range left {
+	for _, part := range o.still(r) {
 		for _, h := range o.keys.In(part) {
 			parts = append(parts, h.Range)
 		}
@@ -197,7 +215,7 @@
 	if reserves {
 		reserved = o.reserved + fenceBlock
 	}
-	for _, r := range o.Moving() {
+	for _, r := range o.moving() {
 		m := o.moves[r]
 		if _, ok := o.members[m.to]; m.stage != freed || !ok {
 			continue
@@ -222,56 +240,68 @@
 
 // withRenewals orders the grants that are due. Ranges that are moving are left out.
 func (o Ownership) withRenewals(orders []order.Order, now time.Time) (Ownership, []order.Order) {
-	due := map[keyrange.Range]renewal{}
+	due := make(map[keyrange.Range]renewal, len(o.renewals)+1)
+	sent := map[string][]int64{}
 	for _, h := range o.keys.Holdings() {
-		parts := []keyrange.Range{h.Range}
-		for moving := range o.moves {
-			var next []keyrange.Range
-			for _, part := range parts {
-				next = append(next, part.Minus(moving)...)
-			}
-			parts = next
-		}
-		for _, part := range parts {
+		for _, part := range o.still(h.Range) {
 			g, ok := o.renewals[part]
 			if !ok || g.owner != h.Owner || g.fence != h.Fence {
-				g = o.inherited(part, h)
+				g = o.cut(part, h)
+			}
+			if to, known := o.members[g.owner]; known && g.isDue(o.terms, now) {
+				o, g.id = o.withID()
+				g.sentAt, g.isOpen = now, true
+				sent[g.owner] = append(sent[g.owner], g.id)
+				orders = append(orders, order.Grant{ID: g.id, To: to, Range: part, Fence: g.fence, Hold: o.terms.Hold, Handover: g.handover})
 			}
 			due[part] = g
 		}
 	}
-	ranges := slices.SortedFunc(maps.Keys(due), func(a, b keyrange.Range) int { return a.From - b.From })
-	for _, r := range ranges {
-		g := due[r]
-		l, known := o.members[g.owner]
-		if !known || g.isOpen && now.Sub(g.sentAt) < o.terms.CallTimeout || !g.sentAt.IsZero() && now.Sub(g.sentAt) < o.terms.Renew {
-			continue
+	o.renewals = due
+	if len(sent) == 0 {
+		return o, orders
+	}
+	o.grants, o.known = maps.Clone(o.grants), maps.Clone(o.known)
+	for owner, ids := range sent {
+		o.known[owner] = o.known[owner].withOpen(now, ids...)
+	}
+	for r, g := range due {
+		if g.isOpen {
+			o.grants[g.id] = grant{owner: g.owner, of: r}
 		}
-		o, g.id = o.withID()
-		g.sentAt, g.isOpen = now, true
-		due[r] = g
-		o = o.withGrant(g.id, r, g.owner, now)
-		orders = append(orders, order.Grant{ID: g.id, To: l, Range: r, Fence: g.fence, Hold: o.terms.Hold, Handover: g.handover})
 	}
-	o.renewals = due
 	return o, orders
 }
 
-// inherited returns the renewal of a range that was cut from a larger one of the same grant. The part goes on with the
-// time of the whole, so that a cut alone sends nothing early.
-func (o Ownership) inherited(part keyrange.Range, h holding.Holding) renewal {
-	g := renewal{owner: h.Owner, fence: h.Fence}
+// still returns the parts of a range that are not moving.
+func (o Ownership) still(r keyrange.Range) []keyrange.Range {
+	parts := []keyrange.Range{r}
+	for moving := range o.moves {
+		if !moving.Overlaps(r) {
+			continue
+		}
+		var next []keyrange.Range
+		for _, part := range parts {
+			next = append(next, part.Minus(moving)...)
+		}
+		parts = next
+	}
+	return parts
+}
+
+// cut returns the renewal of a range that was cut from a larger one of the same grant, or joined from smaller ones. It
+// goes on with the time of the whole, so that a cut alone sends nothing early.
+func (o Ownership) cut(part keyrange.Range, h holding.Holding) renewal {
+	next := renewal{owner: h.Owner, fence: h.Fence, isNew: h.Fence > o.first}
 	for r, whole := range o.renewals {
-		if whole.owner == h.Owner && whole.fence == h.Fence && r.Overlaps(part) {
-			if g.sentAt.IsZero() || whole.sentAt.Before(g.sentAt) {
-				g.sentAt = whole.sentAt
-			}
-			g.handover = whole.handover
-			if r.From > part.From || r.To < part.To {
-				g.sentAt = time.Time{}
-				return g
-			}
+		if whole.owner != h.Owner || whole.fence != h.Fence || !r.Overlaps(part) {
+			continue
+		}
+		next.handover, next.isNew, next.movedAt = whole.handover, whole.isNew, whole.movedAt
+		if r.From <= part.From && r.To >= part.To {
+			next.sentAt = whole.sentAt
 		}
+		break
 	}
-	return g
+	return next
 }
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -42,7 +42,7 @@
 }
 
 func (p Pool) withRun(a ask.Ask, life string, now time.Time) Pool {
-	p.runs = p.runs.Set(a.Ticket, run{life: life, rank: a.Rank, since: now, until: a.Deadline, host: uint32(a.Ticket >> 32)})
+	p.runs = p.runs.Set(a.Ticket, run{life: life, rank: a.Rank, since: now, until: a.Deadline, host: uint32(a.Ticket >> 32), key: a.Key})
 	s := p.servers[life]
 	if s.running == 0 {
 		s.oldest = now
--- /dev/null
+++ b/core/pool/pressures.go
@@ -0,0 +1,38 @@
+package pool
+
+import (
+	"time"
+
+	"redwingsill/core/ask"
+	"redwingsill/core/pressure"
+)
+
+// Pressures returns how busy each owner is, by life.
+func (p Pool) Pressures(now time.Time) map[string]pressure.Pressure {
+	all := make(map[string]pressure.Pressure, len(p.servers))
+	for life, s := range p.servers {
+		one := pressure.Pressure{}
+		if !s.instance.IsLeaving && s.strikes == 0 && s.failing <= doubtful && !now.Before(s.instance.WarmUntil) {
+			one.Free = max(0, s.free(p.share, now))
+		}
+		all[life] = one
+	}
+	for itr := p.runs.Iterator(); !itr.Done(); {
+		_, r, _ := itr.Next()
+		if one, ok := all[r.life]; ok && r.key != ask.NoKey {
+			one.Running = append(one.Running, r.key)
+			all[r.life] = one
+		}
+	}
+	p.waiting.Each(func(a ask.Ask) bool {
+		if a.HasKey() {
+			if owner, ok := p.ownerOf(a); ok {
+				one := all[owner]
+				one.Waiting = append(one.Waiting, a.Key)
+				all[owner] = one
+			}
+		}
+		return true
+	})
+	return all
+}
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -9,4 +9,5 @@
 	since time.Time
 	until time.Time
 	host  uint32
+	key   int
 }
--- a/core/reshard/reshard.go
+++ b/core/reshard/reshard.go
@@ -7,9 +7,10 @@
 	"time"
 
 	"redwingsill/core/holding"
-	"redwingsill/core/keyload"
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/keyrates"
+	"redwingsill/core/pressure"
 )
 
 const (
@@ -23,22 +24,45 @@
 	newcomerPart = 0.7
 	// newcomerWidth is the part of an even share of keys that a newcomer is given where there is no load.
 	newcomerWidth = 0.3
+	// waitingPart bounds the keys that move with a request that waits to that part of an even share to each side, and
+	// waitingLoad their work: a part of one slot.
+	waitingPart = 16
+	waitingLoad = 0.4
+	// mostHoldings is how many ranges an owner may have on average before small ones are joined again: each is renewed
+	// by a call of its own.
+	mostHoldings = 5
+	// mostJoined bounds the ranges that are joined at the same time.
+	mostJoined = 6
 )
 
-// Plan is the moves that a map needs, worked out for the servers and the load of one moment.
+// Plan is the moves that a map needs, worked out for the servers, the load and the queues of one moment.
 type Plan struct {
-	owners []owner
-	keys   keymap.Map
-	load   keyload.Load
-	work   time.Duration
-	now    time.Time
-	moves  []holding.Holding
+	pressures map[string]pressure.Pressure
+	owners    []owner
+	keys      keymap.Map
+	load      keyrates.Rates
+	work      time.Duration
+	now       time.Time
+	moves     []holding.Holding
+	// settling lists the ranges that have moved just now and stay for a while.
+	settling []keyrange.Range
+}
+
+// WithSettling returns the plan in which some ranges stay, since they have moved just now.
+func (p Plan) WithSettling(settling []keyrange.Range) Plan {
+	p.settling = settling
+	return p
+}
+
+func (p *Plan) isSettling(r keyrange.Range) bool {
+	return slices.ContainsFunc(p.settling, func(s keyrange.Range) bool { return s.Overlaps(r) })
 }
 
 // New returns a plan for the map. The capacities give, for each life that may own keys, how many requests of average
 // length it runs at the same time; work is that length.
-func New(keys keymap.Map, capacities map[string]float64, load keyload.Load, work time.Duration, now time.Time) Plan {
-	p := Plan{keys: keys, load: load, work: work, now: now}
+func New(keys keymap.Map, capacities map[string]float64, load keyrates.Rates, pressures map[string]pressure.Pressure,
+	work time.Duration) Plan {
+	p := Plan{keys: keys, load: load, pressures: pressures, work: work}
 	for life, capacity := range capacities {
 		p.owners = append(p.owners, owner{life: life, capacity: capacity})
 	}
@@ -51,15 +75,20 @@
 }
 
 // Moves returns up to so many ranges with the lives that should own them from now on. Ranges that nobody may hold come
-// first, then those for servers without keys, then those that relieve the busiest.
-func (p Plan) Moves(most int) []holding.Holding {
+// first, then those of requests that wait while others are free, then, where balances is set, those for servers without
+// keys and those that relieve the busiest.
+func (p Plan) Moves(most int, balances bool) []holding.Holding {
 	if len(p.owners) == 0 {
 		return nil
 	}
 	p.moves = nil
 	p.adopt()
-	p.welcome(most)
-	p.relieve(most)
+	p.serveWaiting(most)
+	if balances {
+		p.welcome(most)
+		p.relieve(most)
+		p.tidy(most)
+	}
 	return p.moves
 }
 
@@ -105,7 +134,7 @@
 
 // pieces cuts a range so that no piece has more load than half of a mean server's.
 func (p *Plan) pieces(r keyrange.Range) []keyrange.Range {
-	keys, rates := p.load.In(r, p.now)
+	keys, rates := p.load.In(r)
 	bound := p.mean() * p.owners[0].capacity / 2
 	var cut []keyrange.Range
 	from, sum := r.From, 0.0
@@ -184,10 +213,10 @@
 	var best keyrange.Range
 	found := false
 	for _, h := range p.keys.Holdings() {
-		if h.Owner != p.owners[from].life || p.isMoving(h.Range) {
+		if h.Owner != p.owners[from].life || p.isMoving(h.Range) || p.isSettling(h.Range) {
 			continue
 		}
-		keys, rates := p.load.In(h.Range, p.now)
+		keys, rates := p.load.In(h.Range)
 		first, sum := 0, 0.0
 		for last := range keys {
 			sum += rates[last] * p.work.Seconds()
@@ -228,14 +257,7 @@
 	return slices.ContainsFunc(p.moves, func(m holding.Holding) bool { return m.Range.Overlaps(r) })
 }
 
-func (p *Plan) workIn(r keyrange.Range) float64 {
-	_, rates := p.load.In(r, p.now)
-	total := 0.0
-	for _, rate := range rates {
-		total += rate
-	}
-	return total * p.work.Seconds()
-}
+func (p *Plan) workIn(r keyrange.Range) float64 { return p.load.Sum(r) * p.work.Seconds() }
 
 func (p *Plan) loadOf(life string) float64 {
 	total := 0.0
--- a/io/coordination/constants.go
+++ b/io/coordination/constants.go
@@ -13,6 +13,9 @@
 	// answers. mostTurn bounds it.
 	turn     = 60 * time.Millisecond
 	mostTurn = 900 * time.Millisecond
+	// checkers is how many hosts look after a coordinator that does not answer, every checkPause.
+	checkers   = 3
+	checkPause = 500 * time.Millisecond
 	// campaignPause is the time after a try that failed.
 	campaignPause = 250 * time.Millisecond
 	// savePause is the time between two tries to write.
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -35,6 +35,7 @@
 	roster    *rcu.Value[roster.Roster]
 	routing   *rcu.Value[routing.Routing]
 	desk      *desk.Desk
+	isSilent  func(host string) bool
 	now       func() time.Time
 	log       *slog.Logger
 	group     *task.Group
@@ -46,15 +47,17 @@
 	services  map[string]*divided
 	published map[string]publication
 	absentAt  time.Time
+	checkedAt time.Time
 	campaigns int
 }
 
-// New returns the part of a host. The incarnation must differ from start to start.
+// New returns the part of a host. The incarnation must differ from start to start. The function isSilent tells whether a
+// host does not answer.
 func New(name, incarnation string, terms ownership.Terms, lease time.Duration, s Store, servers Servers, r *registry.Registry,
 	hosts *rcu.Value[directory.Directory], members *rcu.Value[roster.Roster], routes *rcu.Value[routing.Routing], d *desk.Desk,
-	now func() time.Time, log *slog.Logger, changes chan struct{}) *Coordination {
+	isSilent func(host string) bool, now func() time.Time, log *slog.Logger, changes chan struct{}) *Coordination {
 	return &Coordination{name: name, mark: name + "/" + incarnation, terms: terms, lease: lease, store: s, servers: servers,
-		registry: r, directory: hosts, roster: members, routing: routes, desk: d, now: now, log: log,
+		registry: r, directory: hosts, roster: members, routing: routes, desk: d, isSilent: isSilent, now: now, log: log,
 		results: make(chan func(), resultBuffer), changes: changes, services: map[string]*divided{},
 		published: map[string]publication{}}
 }
@@ -165,11 +168,9 @@
 		d.members = members
 		d.state = d.state.WithMembers(members, c.addresses(), now)
 	}
-	state, orders := d.state.WithCapacities(capacities).WithTick(p.Load(), p.WorkOf(), now)
+	state, orders := d.state.WithCapacities(capacities).WithTick(p, now)
 	d.state = state
-	for _, o := range orders {
-		c.carryOut(name, d, o)
-	}
+	c.carryOut(name, d, orders)
 }
 
 // addresses gives the life that has each address.
@@ -190,7 +191,7 @@
 		keys := c.registry.Owners(name)
 		var moving []keyrange.Range
 		if d, ok := c.services[name]; ok && d.isLoaded {
-			keys, moving = d.state.Keys(), d.state.Moving()
+			keys, moving = d.state.Keys(), d.state.Unserved()
 		}
 		old, ok := c.published[name]
 		if ok && slices.Equal(old.holdings, keys.Holdings()) && slices.Equal(old.moving, moving) {
--- a/io/coordination/orders.go
+++ b/io/coordination/orders.go
@@ -54,34 +54,63 @@
 	})
 }
 
-// carryOut makes the call for an order.
-func (c *Coordination) carryOut(name string, d *divided, o order.Order) {
-	switch o := o.(type) {
-	case order.Grant:
-		c.run(func(ctx context.Context) func() {
-			ctx, cancel := context.WithTimeout(ctx, c.terms.CallTimeout)
-			defer cancel()
-			result := c.servers.Grant(ctx, o)
-			return func() {
-				if result != order.Done {
-					c.log.Info("grant", "Service", name, "Server", o.To.ID, "Range", o.Range.String(), "Fence", o.Fence, "Result", result.String())
-				}
-				d.state = d.state.WithGranted(o.ID, result, c.now())
+// carryOut makes the calls for orders. Grants to one backend server go one after the other, so that they need one
+// connection.
+func (c *Coordination) carryOut(name string, d *divided, orders []order.Order) {
+	grants := map[string][]order.Grant{}
+	for _, o := range orders {
+		switch o := o.(type) {
+		case order.Grant:
+			grants[o.To.Life()] = append(grants[o.To.Life()], o)
+		case order.Release:
+			c.release(name, d, o)
+		case order.Save:
+			c.save(name, d, o)
+		}
+	}
+	for _, ofServer := range grants {
+		c.grant(name, d, ofServer)
+	}
+}
+
+// grant makes the grants of one backend server. All are sent within the time of one call, from which the coordinator
+// counts how long they may hold.
+func (c *Coordination) grant(name string, d *divided, grants []order.Grant) {
+	until := c.now().Add(c.terms.CallTimeout)
+	c.run(func(ctx context.Context) func() {
+		ctx, cancel := context.WithTimeout(ctx, until.Sub(c.now()))
+		defer cancel()
+		ends := make([]order.End, len(grants))
+		isDown := false
+		for i, g := range grants {
+			ends[i] = order.End{ID: g.ID, Result: order.Unsent}
+			if !isDown {
+				ends[i].Result = c.servers.Grant(ctx, g)
+				isDown = ends[i].Result == order.Lost || ends[i].Result == order.Unsent
 			}
-		})
-	case order.Release:
-		c.run(func(ctx context.Context) func() {
-			ctx, cancel := context.WithTimeout(ctx, c.terms.LongestHold())
-			defer cancel()
-			result, handover := c.servers.Release(ctx, o)
-			return func() {
-				c.log.Info("release", "Service", name, "Server", o.From.ID, "Range", o.Range.String(), "Fence", o.Fence, "Result", result.String())
-				d.state = d.state.WithReleased(o.ID, result, handover, c.now())
+		}
+		return func() {
+			for i, g := range grants {
+				if ends[i].Result != order.Done {
+					c.log.Info("grant", "Service", name, "Server", g.To.ID, "Range", g.Range.String(), "Fence", g.Fence, "Result", ends[i].Result.String())
+				}
 			}
-		})
-	case order.Save:
-		c.save(name, d, o)
-	}
+			d.state = d.state.WithGranted(ends, c.now())
+		}
+	})
+}
+
+// release takes keys back.
+func (c *Coordination) release(name string, d *divided, o order.Release) {
+	c.run(func(ctx context.Context) func() {
+		ctx, cancel := context.WithTimeout(ctx, c.terms.LongestHold())
+		defer cancel()
+		result, handover := c.servers.Release(ctx, o)
+		return func() {
+			c.log.Info("release", "Service", name, "Server", o.From.ID, "Range", o.Range.String(), "Fence", o.Fence, "Result", result.String())
+			d.state = d.state.WithReleased(o.ID, result, handover, c.now())
+		}
+	})
 }
 
 // save writes a service's owners until it is known whether they were written.
@@ -108,7 +137,7 @@
 			if result == order.Done {
 				d.revision = written
 			}
-			d.state = d.state.WithSaved(o, result)
+			d.state = d.state.WithSaved(o, result, c.now())
 		}
 	})
 }
--- a/io/coordination/reign.go
+++ b/io/coordination/reign.go
@@ -37,6 +37,9 @@
 	case c.reign.isCampaigning || !c.registry.IsWhole() || c.directory.Read().Len() == 0:
 	case seen != 0 && seen != c.reign.revision:
 		c.absentAt = time.Time{}
+		if c.isSilent(c.directory.Read().Coordinator) && c.turn() < checkers*turn && now.Sub(c.checkedAt) >= checkPause {
+			c.check(now)
+		}
 	default:
 		if c.absentAt.IsZero() {
 			c.absentAt = now
@@ -47,6 +50,21 @@
 	}
 }
 
+// check reads the entry of a coordinator that does not answer.
+func (c *Coordination) check(now time.Time) {
+	c.checkedAt = now
+	c.run(func(ctx context.Context) func() {
+		r, err := c.store.Get(ctx, registry.Coordinator)
+		return func() {
+			if err != nil {
+				c.log.Info("silent coordinator not checked", "Error", err)
+				return
+			}
+			c.registry.SetCoordinator(r)
+		}
+	})
+}
+
 // turn returns how long this host lets others try first, so that not all try at the same time.
 func (c *Coordination) turn() time.Duration {
 	for i, h := range c.directory.Read().Order(registry.Coordinator) {
--- a/io/dispatch/hosts.go
+++ b/io/dispatch/hosts.go
@@ -66,6 +66,16 @@
 	})
 }
 
+// IsSilent reports whether a known host does not answer.
+func (d *Dispatch) IsSilent(name string) bool {
+	h, ok := d.directory.Read().Find(name)
+	if !ok {
+		return false
+	}
+	_, isSilent := (*d.silent.Read())[h.Address]
+	return isSilent
+}
+
 // Silent returns how many known hosts do not answer.
 func (d *Dispatch) Silent() int { return len(*d.silent.Read()) }
 
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -16,36 +16,55 @@
 type Follow struct {
 	prefix string
 	store  Store
+	manner Manner
 	sink   Sink
 	log    *slog.Logger
-	// revisions gives the newest revision of each entry that the sink was told.
-	revisions map[string]int64
-	isBroken  bool
-	failures  int
+	// entries gives what the sink was told of each entry.
+	entries  map[string]seen
+	isBroken bool
+	failures int
 }
 
 // New returns a follower that tells a sink.
-func New(prefix string, s Store, sink Sink, log *slog.Logger) *Follow {
-	return &Follow{prefix: prefix, store: s, sink: sink, log: log.With("Prefix", prefix), revisions: map[string]int64{}}
+func New(prefix string, s Store, m Manner, sink Sink, log *slog.Logger) *Follow {
+	return &Follow{prefix: prefix, store: s, manner: m, sink: sink, log: log.With("Prefix", prefix), entries: map[string]seen{}}
 }
 
 // Run follows until the context ends.
 func (f *Follow) Run(ctx context.Context) {
+	isFirst := true
 	for ctx.Err() == nil {
-		at, err := f.list(ctx)
-		for err == nil {
-			at, err = f.watch(ctx, at)
+		var err error
+		switch m := f.manner.(type) {
+		case Watching:
+			err = f.watchAll(ctx, m)
+		case Polling:
+			_, err = f.list(ctx, !isFirst)
+			if err == nil {
+				sleep(ctx, m.Every)
+			}
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		f.wait(ctx, err)
+		isFirst = isFirst && err != nil
+		if err != nil {
+			f.wait(ctx, err)
+		}
+	}
+}
+
+func (f *Follow) watchAll(ctx context.Context, m Watching) error {
+	at, err := f.list(ctx, false)
+	for err == nil {
+		at, err = f.watch(ctx, at, m.Wait)
 	}
+	return err
 }
 
 // list reads all entries. What was there before and is not any more is removed.
-func (f *Follow) list(ctx context.Context) (int64, error) {
-	records, at, err := f.store.List(ctx, f.prefix)
+func (f *Follow) list(ctx context.Context, mayBeStale bool) (int64, error) {
+	records, at, err := f.store.List(ctx, f.prefix, mayBeStale)
 	if err != nil {
 		return 0, err
 	}
@@ -55,8 +74,8 @@
 		listed[r.Key] = true
 		changes = append(changes, r)
 	}
-	for key, revision := range f.revisions {
-		if !listed[key] && revision <= at {
+	for key, last := range f.entries {
+		if !listed[key] && !last.isRemoved && last.revision <= at {
 			changes = append(changes, record.Record{Key: key, Revision: at, IsRemoved: true})
 		}
 	}
@@ -64,8 +83,8 @@
 	return at, nil
 }
 
-func (f *Follow) watch(ctx context.Context, after int64) (int64, error) {
-	changes, at, err := f.store.Watch(ctx, f.prefix, after)
+func (f *Follow) watch(ctx context.Context, after int64, wait time.Duration) (int64, error) {
+	changes, at, err := f.store.Watch(ctx, f.prefix, after, wait)
 	if err != nil {
 		var failed interface{ IsKind(kind.Kind) bool }
 		if errors.As(err, &failed) && failed.IsKind(kind.Unavailable) && ctx.Err() == nil {
@@ -82,15 +101,12 @@
 func (f *Follow) apply(changes []record.Record, isWhole bool) {
 	newer := changes[:0:0]
 	for _, r := range changes {
-		if r.Revision <= f.revisions[r.Key] {
+		last := f.entries[r.Key]
+		if r.Revision < last.revision || r.Revision == last.revision && r.IsRemoved == last.isRemoved {
 			continue
 		}
 		newer = append(newer, r)
-		if r.IsRemoved {
-			delete(f.revisions, r.Key)
-		} else {
-			f.revisions[r.Key] = r.Revision
-		}
+		f.entries[r.Key] = seen{revision: r.Revision, isRemoved: r.IsRemoved}
 	}
 	if f.isBroken {
 		f.isBroken = false
@@ -109,7 +125,11 @@
 	}
 	f.failures++
 	pause := min(firstPause<<min(f.failures-1, 6), mostPause)
-	timer := time.NewTimer(pause/2 + rand.N(pause))
+	sleep(ctx, pause/2+rand.N(pause))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -21,8 +21,10 @@
 	Prefix = "redwingsill/"
 	// Coordinator is the key of the host that decides on ownership; it ends with that host's lease.
 	Coordinator = Prefix + "coordinator"
-	hosts       = Prefix + "hosts/"
-	keys        = Prefix + "keys/"
+	// OwnersPrefix begins the keys of services' owners. They change often, so that most hosts only look at times.
+	OwnersPrefix = "redwingsill-owners/"
+
+	hosts = Prefix + "hosts/"
 )
 
 // Registry follows the keys. It implements follow.Sink.
@@ -45,7 +47,7 @@
 func HostKey(name string) string { return hosts + name }
 
 // OwnersKey returns the key of a service's owners.
-func OwnersKey(service string) string { return keys + service }
+func OwnersKey(service string) string { return OwnersPrefix + service }
 
 // EncodeHost returns the value of a host's key.
 func EncodeHost(address netip.AddrPort, dataCentre string) ([]byte, error) {
@@ -91,14 +93,14 @@
 			r.setCoordinator(c)
 		case strings.HasPrefix(c.Key, hosts):
 			r.setHost(strings.TrimPrefix(c.Key, hosts), c)
-		case strings.HasPrefix(c.Key, keys):
-			r.setOwners(strings.TrimPrefix(c.Key, keys), c)
+		case strings.HasPrefix(c.Key, OwnersPrefix):
+			r.setOwners(strings.TrimPrefix(c.Key, OwnersPrefix), c)
 		}
 	}
-	if isWhole {
+	if isWhole && !r.isWhole.Load() {
 		r.isWhole.Store(true)
 	}
-	if len(changes) > 0 || isWhole {
+	if len(changes) > 0 {
 		r.changed()
 	}
 }
@@ -106,6 +108,17 @@
 // Lost implements follow.Sink. What was known stays in use.
 func (r *Registry) Lost() {}
 
+// SetCoordinator takes the coordinator's entry as it was read by itself. One without a revision says that there is none.
+func (r *Registry) SetCoordinator(c record.Record) {
+	if c.Revision == 0 {
+		c = record.Record{Key: Coordinator, IsRemoved: true, Revision: r.CoordinatorRevision()}
+	}
+	if c.Revision > r.CoordinatorRevision() || c.IsRemoved {
+		r.setCoordinator(c)
+		r.changed()
+	}
+}
+
 func (r *Registry) setCoordinator(c record.Record) {
 	name := ""
 	if !c.IsRemoved {
