Work that must not repeat may try a doubtful server, and what can't be served in time is refused at once

Other requests waited behind more work than fits into their time. Change: doubtful servers come last for work that must not repeat, not never; the pool looks through its queue and refuses what the work ahead leaves no time for.

--- a/core/placement/place.go
+++ b/core/placement/place.go
@@ -8,3 +8,6 @@
 }
 
 func (Place) placement() {}
+
+// Of implements [Placement].
+func (p Place) Of() uint64 { return p.Ticket }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -5,5 +5,7 @@
 //
 //sumtype:decl
 type Placement interface {
+	// Of returns the ticket of the ask that is answered.
+	Of() uint64
 	placement()
 }
--- a/core/placement/refuse.go
+++ b/core/placement/refuse.go
@@ -11,3 +11,6 @@
 }
 
 func (Refuse) placement() {}
+
+// Of implements [Placement].
+func (p Refuse) Of() uint64 { return p.Ticket }
--- a/core/pool/constants.go
+++ b/core/pool/constants.go
@@ -22,6 +22,8 @@
 	doubtful = 0.25
 	// failureWeight is the part of the newest request in a server's rate of failures.
 	failureWeight = 0.2
+	// leastPart is the part of the average work that a request may get by with: half of all take less than 0.7 of it.
+	leastPart = 0.5
 	// lateEvery is how often requests are looked through for those that have become late: a fraction of any objective.
 	lateEvery = 20 * time.Millisecond
 	// retryLeast and retryMost bound what a refused caller is told to wait.
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -14,10 +14,11 @@
 	if p.waiting.Len() == 0 {
 		return p, nil
 	}
+	var done []placement.Placement
 	if now.Sub(p.lateAt) >= lateEvery {
 		p.waiting, p.lateAt = p.waiting.Late(now, p.workOf), now
+		p, done = p.withoutUnservable(now)
 	}
-	var done []placement.Placement
 	waiting := p.waiting
 	waiting.Each(func(a ask.Ask) bool {
 		if !now.Before(a.Deadline) {
@@ -93,7 +94,7 @@
 	}
 	best, bestCost := "", rankedCost{}
 	for life, s := range p.servers {
-		if !p.isOpen(s, a, now) || slices.Contains(a.Excluded, life) {
+		if !p.isOpen(s, now) || slices.Contains(a.Excluded, life) {
 			continue
 		}
 		if c := p.cost(s, a, life, now); best == "" || c.isLess(bestCost) {
@@ -103,14 +104,8 @@
 	return best, best != ""
 }
 
-func (p Pool) isOpen(s server, a ask.Ask, now time.Time) bool {
-	switch {
-	case s.instance.IsLeaving || s.free(p.share, now) <= 0 || now.Before(s.restUntil):
-		return false
-	case s.strikes > 0 && !a.MayRepeat:
-		return false
-	}
-	return true
+func (p Pool) isOpen(s server, now time.Time) bool {
+	return !s.instance.IsLeaving && s.free(p.share, now) > 0 && !now.Before(s.restUntil)
 }
 
 // cost ranks a server for a request: first whether the answer is likely to be in time, then whether it stays in the data
@@ -123,8 +118,8 @@
 	if s.known < 3 && now.After(s.instance.WarmUntil) {
 		c.expected = expected * 8 / 10 // a server that is hardly known is tried early
 	}
-	if s.failing > doubtful && !a.MayRepeat {
-		c.class += 4
+	if (s.failing > doubtful || s.strikes > 0) && !a.MayRepeat {
+		c.class += 4 // what may repeat tries a doubtful server first
 	}
 	if !isInTime {
 		c.class += 2
@@ -134,57 +129,6 @@
 	return c
 }
 
-// wait returns how long a request would wait for a slot.
-func (p Pool) wait(a ask.Ask, now time.Time) time.Duration {
-	if p.isDivided && a.HasKey() {
-		return p.waitAtOwner(a, now)
-	}
-	capacity := 0.0
-	for life, s := range p.servers {
-		if s.instance.IsLeaving || now.Before(s.restUntil) || slices.Contains(a.Excluded, life) {
-			continue
-		}
-		if s.free(p.share, now) > 0 && p.isOpen(s, a, now) {
-			return 0
-		}
-		capacity += p.capacityOf(s)
-	}
-	if capacity == 0 {
-		return 0
-	}
-	total := 0.0
-	for rank, n := range p.waiting.Ahead(a) {
-		total += float64(n) * float64(p.workOf(rank))
-	}
-	return time.Duration(total / capacity)
-}
-
-func (p Pool) capacityOf(s server) float64 {
-	return max(1, float64(s.instance.Slots)*p.share) / max(0.2, s.factor())
-}
-
-func (p Pool) waitAtOwner(a ask.Ask, now time.Time) time.Duration {
-	life, ok := p.ownerOf(a)
-	if !ok {
-		return 0
-	}
-	s := p.servers[life]
-	if s.free(p.share, now) > 0 {
-		return 0
-	}
-	total := 0.0
-	p.waiting.Each(func(other ask.Ask) bool {
-		if other.Rank > a.Rank {
-			return false
-		}
-		if owner, ok := p.ownerOf(other); ok && owner == life {
-			total += float64(p.workOf(other.Rank))
-		}
-		return true
-	})
-	return time.Duration(total / p.capacityOf(s))
-}
-
 // InstanceOf returns the instance of a life.
 func (p Pool) InstanceOf(life string) (instance.Instance, bool) {
 	s, ok := p.servers[life]
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -121,18 +121,8 @@
 		return next
 	})
 	for _, each := range placed {
-		if answer, ok := d.askers.LoadAndDelete(ticketOf(each)); ok {
+		if answer, ok := d.askers.LoadAndDelete(each.Of()); ok {
 			answer.(func(placement.Placement))(each)
 		}
 	}
 }
-
-func ticketOf(p placement.Placement) uint64 {
-	switch p := p.(type) {
-	case placement.Place:
-		return p.Ticket
-	case placement.Refuse:
-		return p.Ticket
-	}
-	return 0
-}
