--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -10,8 +10,9 @@
 
 // Attempt is how far one request has come. The zero value has not been anywhere. It is immutable.
 type Attempt struct {
-	// Sent counts the backend servers that were sent the request.
-	Sent int
+	// Sent counts how often the request was sent, and Begun the backend servers that may have begun it.
+	Sent  int
+	Begun int
 	// MayHaveRun says that one of them may have run it.
 	MayHaveRun bool
 	// Excluded lists the lives that should not be tried again.
@@ -26,6 +27,7 @@
 		a.Sent++
 	case report.Answered, report.Failed, report.Silent, report.Left:
 		a.Sent++
+		a.Begun++
 		a.MayHaveRun = true
 	}
 	if r != report.NotOwner && r != report.Unsent {
@@ -43,5 +45,5 @@
 	case a.Sent == 0:
 		return true
 	}
-	return a.Sent < max(1, of.MaxAttempts) && draw()
+	return a.Begun < max(1, of.MaxAttempts) && draw()
 }
--- a/core/keyrates/keyrates.go
+++ b/core/keyrates/keyrates.go
@@ -36,6 +36,17 @@
 	return r.sums[to] - r.sums[from]
 }
 
+// Hottest returns the key with the most requests, and their rate; without any the rate is 0.
+func (r Rates) Hottest() (int, float64) {
+	key, most := 0, 0.0
+	for i, rate := range r.rates {
+		if rate > most {
+			key, most = r.keys[i], rate
+		}
+	}
+	return key, most
+}
+
 func (r Rates) bounds(of keyrange.Range) (int, int) {
 	return sort.SearchInts(r.keys, of.From), sort.SearchInts(r.keys, of.To+1)
 }
--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -33,9 +33,10 @@
 			o = o.withFenced(g.of, m, e.Result, now)
 		} else if due, ok := o.renewals[g.of]; ok && due.id == e.ID {
 			o.renewals[g.of] = due.withEnd(e.Result, o.terms, now)
-			// An earlier coordinator had raised the token before it was lost: the owner stays, under a higher one.
+			// An earlier coordinator had raised the token of some of the keys before it was lost. The owner gives them up and
+			// gets them again under a token above that; it may be another one, so it can't be skipped.
 			if _, isMoving := o.moves[g.of]; !isMoving && e.Result == order.Stale {
-				o = o.withMove(g.of, move{to: due.owner, stage: freed})
+				o = o.withMove(g.of, move{to: due.owner, from: due.owner, fence: due.fence, stage: releasing, isLateGrantPossible: true})
 			}
 		}
 	}
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -15,11 +15,11 @@
 	switch result {
 	case order.Done:
 		m.stage = releasing
-	case order.Stale:
-		// A grant under a still higher token came first: the next try takes a newer one.
+	case order.Stale, order.Lost:
+		// The next try takes a newer token: a grant that was lost may still take effect after another under the same one.
 		m.stage, m.isLateGrantPossible = releasing, true
 		m.retryAt = now.Add(o.terms.Retry)
-	case order.Lost, order.Unsent, order.Invalid:
+	case order.Unsent, order.Invalid:
 		m.retryAt = now.Add(o.terms.Retry)
 	}
 	return o.withMove(r, m)
--- /dev/null
+++ b/core/ownership/property_test.go
@@ -0,0 +1,298 @@
+package ownership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"redwingsill/core/instance"
+	"redwingsill/core/keyload"
+	"redwingsill/core/keymap"
+	"redwingsill/core/order"
+	"redwingsill/core/ownership"
+	"redwingsill/core/pressure"
+)
+
+// TestOneOwner plays random faults on coordinators and backend servers and checks at every step that no key is held by
+// two servers, and that tokens rise from owner to owner. Calls are lost, late by seconds, or refused; servers are cut
+// off, killed and started again; coordinators are killed, or go on beside their successors without the store.
+func TestOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range 400 {
+			w.step()
+		}
+	})
+}
+
+var worldTerms = ownership.Terms{Hold: 4 * time.Second, ClockSlack: 0.025, CallTimeout: time.Second,
+	Renew: 1100 * time.Millisecond, Retry: 250 * time.Millisecond, Extension: 12 * time.Second, Settle: 500 * time.Millisecond,
+	Plan: 400 * time.Millisecond, Look: 50 * time.Millisecond, Stay: 200 * time.Millisecond, MostMoves: 8}
+
+// lease is the coordinator's lease in the world's store.
+const lease = 2500 * time.Millisecond
+
+// world is a store, some backend servers and the coordinators that were ever elected.
+type world struct {
+	t            *rapid.T
+	now          time.Time
+	servers      []*server
+	coordinators []*coordinator
+	keys         keymap.Map
+	fence        int64
+	revision     int64
+	leader       int
+	leaseUntil   time.Time
+	load         keyload.Load
+	// calls are under way.
+	calls []call
+	born  int64
+}
+
+type coordinator struct {
+	state    ownership.Ownership
+	leader   int
+	revision int64
+	isAlive  bool
+	isCut    bool
+}
+
+// call is an order under way to a server.
+type call struct {
+	at     time.Time
+	from   *coordinator
+	apply  func() order.Result
+	answer func(order.Result)
+	lost   bool
+	// lateBy is how much later it takes effect than it arrives.
+	lateBy time.Duration
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: time.Unix(1_000_000, 0), load: keyload.New()}
+	for i := range 4 {
+		w.start(fmt.Sprintf("s%d", i), fmt.Sprintf("10.0.0.%d:80", i))
+	}
+	return w
+}
+
+func (w *world) start(id, address string) {
+	w.born++
+	w.servers = append(w.servers, &server{instance: instance.Instance{ID: id, Born: w.born, Service: "s", Address: address, Slots: 2},
+		isListed: true, isAlive: true, seen: map[int]int64{}, held: map[int]hold{}})
+}
+
+// step lets some time pass and perhaps something happen.
+func (w *world) step() {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(5, 150).Draw(w.t, "ms")) * time.Millisecond)
+	w.load = w.load.With(rapid.SampledFrom([]int{5, 6, 7, 40000, 40001, 65535}).Draw(w.t, "key"), w.now)
+	w.deliver()
+	w.happen()
+	w.elect()
+	for _, c := range w.coordinators {
+		if !c.isAlive {
+			continue
+		}
+		if c.leader == w.leader && !c.isCut && w.now.Before(w.leaseUntil) {
+			w.leaseUntil = w.now.Add(lease)
+			c.state = c.state.WithLease(w.leaseUntil)
+		}
+		if !c.isCut {
+			c.state = c.state.WithMembers(w.members(), w.addresses(), w.now)
+		}
+		state, orders := c.state.WithTick(w, w.now)
+		c.state = state
+		for _, o := range orders {
+			w.carryOut(c, o)
+		}
+	}
+	w.check()
+}
+
+func (w *world) members() []instance.Instance {
+	var all []instance.Instance
+	for _, s := range w.servers {
+		if s.isListed {
+			all = append(all, s.instance)
+		}
+	}
+	return all
+}
+
+func (w *world) addresses() map[string]string {
+	all := map[string]string{}
+	for _, m := range w.members() {
+		all[m.Address] = m.Life()
+	}
+	return all
+}
+
+// happen draws an event.
+func (w *world) happen() {
+	s := w.servers[rapid.IntRange(0, len(w.servers)-1).Draw(w.t, "server")]
+	switch rapid.IntRange(0, 60).Draw(w.t, "event") {
+	case 0:
+		s.isCut = !s.isCut
+	case 1:
+		if s.isAlive {
+			s.isAlive, s.isListed = false, false
+			if len(w.servers) < 10 {
+				w.start(s.instance.ID, s.instance.Address)
+			}
+		}
+	case 2:
+		s.isListed = s.isAlive && !s.isListed
+	case 3:
+		s.instance = s.instance.WithLeaving(w.now.Add(time.Second))
+	case 4:
+		if c := w.current(); c != nil {
+			c.isAlive = false
+		}
+	case 5:
+		if c := w.current(); c != nil {
+			c.isCut = true
+		}
+	case 6:
+		if len(w.servers) < 10 {
+			w.start(fmt.Sprintf("n%d", len(w.servers)), fmt.Sprintf("10.0.1.%d:80", len(w.servers)))
+		}
+	}
+}
+
+func (w *world) current() *coordinator {
+	for _, c := range w.coordinators {
+		if c.leader == w.leader && c.isAlive {
+			return c
+		}
+	}
+	return nil
+}
+
+func (w *world) elect() {
+	if w.now.Before(w.leaseUntil) {
+		return
+	}
+	w.leader++
+	w.leaseUntil = w.now.Add(lease)
+	c := &coordinator{state: ownership.New(worldTerms, w.keys, w.fence, w.now).WithLease(w.leaseUntil), leader: w.leader,
+		revision: w.revision, isAlive: true}
+	w.coordinators = append(w.coordinators, c)
+}
+
+// carryOut sends an order on its way.
+func (w *world) carryOut(c *coordinator, o order.Order) {
+	w.t.Logf("%v coordinator %d: %T %+v", w.now.Sub(time.Unix(1_000_000, 0)), c.leader, o, o)
+	next := call{from: c, at: w.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(w.t, "way")) * time.Millisecond),
+		lost: rapid.IntRange(0, 9).Draw(w.t, "lost") == 0}
+	if next.lost {
+		next.lateBy = time.Duration(rapid.IntRange(0, 8000).Draw(w.t, "late")) * time.Millisecond
+	}
+	switch o := o.(type) {
+	case order.Grant:
+		s := w.find(o.To)
+		next.apply = func() order.Result { return s.grant(o, next.at, next.at.Add(next.lateBy)) }
+		next.answer = func(r order.Result) {
+			c.state = c.state.WithGranted([]order.End{{ID: o.ID, Result: r}}, w.now)
+		}
+		w.call(s, next)
+	case order.Release:
+		s := w.find(o.From)
+		next.lateBy = 0
+		next.apply = func() order.Result { return s.release(o) }
+		next.answer = func(r order.Result) { c.state = c.state.WithReleased(o.ID, r, "h", w.now) }
+		w.call(s, next)
+	case order.Save:
+		result := order.Stale
+		if c.leader == w.leader && c.revision == w.revision && w.now.Before(w.leaseUntil) && !c.isCut {
+			w.keys, w.fence = o.Keys, max(w.fence, o.Fence)
+			w.revision++
+			c.revision = w.revision
+			result = order.Done
+		}
+		if c.isCut {
+			return // it is tried again and again
+		}
+		c.state = c.state.WithSaved(o, result, w.now)
+	}
+}
+
+func (w *world) call(s *server, next call) {
+	if s.isCut || !s.isAlive {
+		unsent := next
+		unsent.apply, unsent.lost = func() order.Result { return order.Unsent }, false
+		next = unsent
+	}
+	w.calls = append(w.calls, next)
+}
+
+// deliver lets calls take effect and be answered whose time has come.
+func (w *world) deliver() {
+	var left []call
+	for _, c := range w.calls {
+		if c.at.Add(c.lateBy).After(w.now) {
+			if c.lost && c.answer != nil && c.at.Add(worldTerms.CallTimeout).Before(w.now) {
+				c.answer(order.Lost)
+				c.answer = nil
+			}
+			left = append(left, c)
+			continue
+		}
+		result := c.apply()
+		w.t.Logf("%v call sent to arrive at %v took effect: %v, lost %v", w.now.Sub(time.Unix(1_000_000, 0)), c.at.Sub(time.Unix(1_000_000, 0)), result, c.lost)
+		if c.lost {
+			result = order.Lost
+		}
+		if c.answer != nil {
+			c.answer(result)
+		}
+	}
+	w.calls = left
+}
+
+func (w *world) find(i instance.Instance) *server {
+	for _, s := range w.servers {
+		if s.instance.Life() == i.Life() {
+			return s
+		}
+	}
+	panic("an order for a server that was never there")
+}
+
+// check fails where two servers hold one key.
+func (w *world) check() {
+	for _, key := range sampleKeys {
+		holder := ""
+		for _, s := range w.servers {
+			if h, ok := s.held[key]; ok && s.isAlive && w.now.Before(h.until) {
+				if holder != "" {
+					w.t.Fatalf("key %d is held by %s and %s", key, holder, s.instance.Life())
+				}
+				holder = s.instance.Life()
+			}
+		}
+	}
+}
+
+// Load implements ownership.Queues.
+func (w *world) Load() keyload.Load { return w.load }
+
+// Pressures implements ownership.Queues.
+func (w *world) Pressures(time.Time) map[string]pressure.Pressure {
+	all := map[string]pressure.Pressure{}
+	for i, s := range w.servers {
+		one := pressure.Pressure{Free: 2}
+		if i == 0 {
+			one = pressure.Pressure{Waiting: []int{6, 40001}, Running: []int{5}}
+		}
+		all[s.instance.Life()] = one
+	}
+	return all
+}
+
+// WorkOf implements ownership.Queues.
+func (w *world) WorkOf() time.Duration { return 200 * time.Millisecond }
+
+// Waiting implements ownership.Queues.
+func (w *world) Waiting() int { return 2 }
--- /dev/null
+++ b/core/ownership/server_test.go
@@ -0,0 +1,60 @@
+package ownership_test
+
+import (
+	"time"
+
+	"redwingsill/core/instance"
+	"redwingsill/core/order"
+)
+
+// sampleKeys are the keys that the model looks at.
+var sampleKeys = []int{0, 5, 6, 7, 20000, 40000, 40001, 50000, 65535}
+
+// server is a backend server that holds keys as the platform's do: a grant's time runs from its arrival by a clock that
+// is 2% slow, also when it takes effect later, and a lower token than one that was seen is refused.
+type server struct {
+	instance instance.Instance
+	isListed bool
+	isAlive  bool
+	isCut    bool
+	seen     map[int]int64
+	held     map[int]hold
+}
+
+type hold struct {
+	fence int64
+	until time.Time
+}
+
+func (s *server) grant(g order.Grant, arrived, now time.Time) order.Result {
+	if !s.isAlive {
+		return order.Lost
+	}
+	for _, key := range sampleKeys {
+		if g.Range.Contains(key) && s.seen[key] > g.Fence {
+			return order.Stale
+		}
+	}
+	until := arrived.Add(time.Duration(float64(g.Hold) * 1.02))
+	for _, key := range sampleKeys {
+		if g.Range.Contains(key) {
+			s.seen[key] = g.Fence
+			if now.Before(until) && (s.held[key].fence < g.Fence || s.held[key].until.Before(until)) {
+				s.held[key] = hold{fence: g.Fence, until: until}
+			}
+		}
+	}
+	return order.Done
+}
+
+func (s *server) release(r order.Release) order.Result {
+	if !s.isAlive {
+		return order.Lost
+	}
+	for _, key := range sampleKeys {
+		if r.Range.Contains(key) {
+			delete(s.held, key)
+		}
+	}
+	return order.Done
+}
--- a/core/pool/asks.go
+++ b/core/pool/asks.go
@@ -59,7 +59,7 @@
 	switch r.Result {
 	case report.Answered:
 		s = s.withFailure(false)
-		s.strikes = 0
+		s.strikes, s.blocked = 0, nil
 		if ok {
 			average := p.workOf(running.rank)
 			p = p.withWork(running.rank, time.Duration(float64(r.Took)/max(0.2, s.factor())))
@@ -71,7 +71,9 @@
 		s = s.withFailure(true)
 	case report.Refused:
 		s = s.withFailure(true)
-	case report.Unreachable, report.Replaced, report.Silent:
+	case report.Unreachable:
+		s = s.withUnreachable(hostOf(r.Ticket), now)
+	case report.Replaced, report.Silent:
 		s = s.withFailure(true).withRest(now)
 	case report.NotOwner, report.Left, report.Unsent:
 	}
--- a/core/pool/constants.go
+++ b/core/pool/constants.go
@@ -18,6 +18,10 @@
 	// restFirst and restMost bound how long a server rests that can't be reached; it doubles with each failure in a row.
 	restFirst = 400 * time.Millisecond
 	restMost  = 3200 * time.Millisecond
+	// blockedFor is how long a host that could not reach a server leaves it alone, and unreachableHosts how many hosts must
+	// fail so before the server rests for all: a cut may keep only some hosts from it.
+	blockedFor       = 900 * time.Millisecond
+	unreachableHosts = 2
 	// doubtful is the part of failed requests from which on work that must not repeat goes elsewhere.
 	doubtful = 0.25
 	// failureWeight is the part of the newest request in a server's rate of failures.
@@ -26,6 +30,8 @@
 	leastPart = 0.5
 	// lateEvery is how often requests are looked through for those that have become late: a fraction of any objective.
 	lateEvery = 20 * time.Millisecond
+	// unreachableRetry is what a caller is told whose key's owner can't be reached from this host: another may reach it.
+	unreachableRetry = 250 * time.Millisecond
 	// retryLeast and retryMost bound what a refused caller is told to wait.
 	retryLeast = 50 * time.Millisecond
 	retryMost  = 5 * time.Second
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -43,7 +43,7 @@
 }
 
 func (p Pool) withRun(a ask.Ask, life string, now time.Time) Pool {
-	p.runs = p.runs.Set(a.Ticket, run{life: life, rank: a.Rank, since: now, until: a.Deadline, host: uint32(a.Ticket >> 32), key: a.Key})
+	p.runs = p.runs.Set(a.Ticket, run{life: life, rank: a.Rank, since: now, until: a.Deadline, host: hostOf(a.Ticket), key: a.Key})
 	s := p.servers[life]
 	if s.running == 0 {
 		s.oldest = now
@@ -57,13 +57,18 @@
 func (p Pool) hopeless(a ask.Ask, now time.Time) (placement.Refuse, bool) {
 	if a.HasKey() && p.isDivided {
 		asked, _ := p.asked.Get(a.Ticket)
-		if _, ok := p.ownerOf(a); !ok && now.Sub(asked) > ownerWait {
+		life, ok := p.ownerOf(a)
+		s := p.servers[life]
+		switch {
+		case !ok && now.Sub(asked) > ownerWait:
 			return placement.Refuse{Ticket: a.Ticket, Reason: placement.NoOwner, RetryAfter: time.Second}, true
+		case ok && (now.Before(s.restUntil) || s.isBlocked(hostOf(a.Ticket), now)):
+			return placement.Refuse{Ticket: a.Ticket, Reason: placement.Unreachable, RetryAfter: unreachableRetry}, true
 		}
 		return placement.Refuse{}, false
 	}
 	for life, s := range p.servers {
-		if !s.instance.IsLeaving && !slices.Contains(a.Excluded, life) {
+		if !s.instance.IsLeaving && !s.isBlocked(hostOf(a.Ticket), now) && !slices.Contains(a.Excluded, life) {
 			return placement.Refuse{}, false
 		}
 	}
@@ -87,14 +92,14 @@
 			return "", false
 		}
 		s := p.servers[life]
-		if s.free(p.share, now) <= 0 || now.Before(s.restUntil) || !s.instance.IsOpen(now) {
+		if s.free(p.share, now) <= 0 || now.Before(s.restUntil) || s.isBlocked(hostOf(a.Ticket), now) || !s.instance.IsOpen(now) {
 			return "", false
 		}
 		return life, true
 	}
 	best, bestCost := "", rankedCost{}
 	for life, s := range p.servers {
-		if !p.isOpen(s, now) || slices.Contains(a.Excluded, life) {
+		if !p.isOpen(s, now) || s.isBlocked(hostOf(a.Ticket), now) || slices.Contains(a.Excluded, life) {
 			continue
 		}
 		if c := p.cost(s, a, life, now); best == "" || c.isLess(bestCost) {
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -11,3 +11,6 @@
 	host  uint32
 	key   int
 }
+
+// hostOf returns the host that a ticket is of.
+func hostOf(ticket uint64) uint32 { return uint32(ticket >> 32) }
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -24,6 +24,28 @@
 	foreign   int
 	foreignAt time.Time
 	usedAt    time.Time
+	// blocked gives, by host, until when that host does not try to reach the server again.
+	blocked map[uint32]time.Time
+}
+
+// isBlocked reports whether a host could not reach the server lately.
+func (s server) isBlocked(host uint32, now time.Time) bool { return now.Before(s.blocked[host]) }
+
+// withUnreachable returns the server after a host could not reach it. When several hosts can't, it rests for all.
+func (s server) withUnreachable(host uint32, now time.Time) server {
+	blocked := map[uint32]time.Time{host: now.Add(blockedFor)}
+	others := 0
+	for other, until := range s.blocked {
+		if other != host && now.Before(until) {
+			blocked[other] = until
+			others++
+		}
+	}
+	s.blocked = blocked
+	if others+1 >= unreachableHosts {
+		return s.withRest(now)
+	}
+	return s
 }
 
 // factor returns how much slower than the average the server is.
--- a/core/reshard/reshard.go
+++ b/core/reshard/reshard.go
@@ -28,6 +28,10 @@
 	// waitingLoad their work: a part of one slot.
 	waitingPart = 16
 	waitingLoad = 0.4
+	// promoted is the part of its owner's capacity that one key must take to move to a server that has promotion times as
+	// much.
+	promoted  = 0.6
+	promotion = 1.3
 	// mostHoldings is how many ranges an owner may have on average before small ones are joined again: each is renewed
 	// by a call of its own.
 	mostHoldings = 5
@@ -85,6 +89,7 @@
 	p.adopt()
 	p.serveWaiting(most)
 	if balances {
+		p.promote(most)
 		p.welcome(most)
 		p.relieve(most)
 		p.tidy(most)
--- a/io/datagram/codec.go
+++ b/io/datagram/codec.go
@@ -26,7 +26,7 @@
 )
 
 // reasons gives the codes of the reasons for a refusal.
-var reasons = []placement.Reason{placement.Overload, placement.NoServers, placement.NoOwner, placement.Expired}
+var reasons = []placement.Reason{placement.Overload, placement.NoServers, placement.NoOwner, placement.Unreachable, placement.Expired}
 
 // encode returns a notice as bytes. Times travel as what is left of them, since clocks differ.
 func encode(n notice.Notice, now time.Time) []byte {
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -79,7 +79,7 @@
 			changes = append(changes, record.Record{Key: key, Revision: at, IsRemoved: true})
 		}
 	}
-	f.apply(changes, true)
+	f.apply(changes, at, true)
 	return at, nil
 }
 
@@ -94,11 +94,11 @@
 		}
 		return 0, err
 	}
-	f.apply(changes, false)
+	f.apply(changes, at, false)
 	return max(at, after), nil
 }
 
-func (f *Follow) apply(changes []record.Record, isWhole bool) {
+func (f *Follow) apply(changes []record.Record, at int64, isWhole bool) {
 	newer := changes[:0:0]
 	for _, r := range changes {
 		last := f.entries[r.Key]
@@ -113,7 +113,7 @@
 		f.log.Info("store regained", "Failures", f.failures)
 	}
 	f.failures = 0
-	f.sink.Apply(newer, isWhole)
+	f.sink.Apply(newer, at, isWhole)
 }
 
 // wait notes a failure and waits longer the more there were, so that many hosts do not come back at the same time.
--- a/io/forward/constants.go
+++ b/io/forward/constants.go
@@ -13,8 +13,8 @@
 	ownerPauseMost = 300 * time.Millisecond
 	// shortRetry is what callers are told whose request met a failure that others would not meet.
 	shortRetry = 100 * time.Millisecond
-	// ratioPart is how much of the common budget is used, since hosts count on their own.
-	ratioPart = 0.75
+	// ratioPart is how much of the common budget is used: hosts count in steps of a tenth of the window.
+	ratioPart = 0.88
 	// defaultConnections is the bound on connections to a server of a service that names none.
 	defaultConnections = 100
 	// leastConnections is what a host may open to any server.
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -86,7 +86,7 @@
 }
 
 // Apply implements follow.Sink.
-func (r *Registry) Apply(changes []record.Record, isWhole bool) {
+func (r *Registry) Apply(changes []record.Record, _ int64, isWhole bool) {
 	for _, c := range changes {
 		switch {
 		case c.Key == Coordinator:
