A pool keeps a queue for each owner, and the coordinator gives out only divided services' slots

Change: queues by owner, servers in a copied slice, looks for late requests by time alone; asks are repeated after 60 and 120 ms; undivided services are dispatched by other hosts than the coordinator.

--- a/core/pool/asks.go
+++ b/core/pool/asks.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"redwingsill/core/ask"
@@ -14,7 +15,7 @@
 	if r, ok := p.runs.Get(a.Ticket); ok {
 		return p, []placement.Placement{placement.Place{Ticket: a.Ticket, Life: r.life}}
 	}
-	if p.waiting.Has(a.Ticket) {
+	if _, ok := p.waiting.Get(a.Ticket); ok {
 		return p, nil
 	}
 	if a.HasKey() && !a.IsRepeat {
@@ -23,22 +24,31 @@
 	if len(p.servers) == 0 {
 		return p, []placement.Placement{placement.Refuse{Ticket: a.Ticket, Reason: placement.NoServers, RetryAfter: time.Second}}
 	}
-	if wait, left := p.wait(a, now), a.Deadline.Sub(now); wait > 0 && wait+p.workOf(a.Rank)/2 > left {
+	n := p.queueOf(a)
+	if p.queues[n].Len() == 0 { // nothing is ahead of it: it need not be queued to be placed
+		if s, ok := p.choose(n, a, now); ok {
+			return p.withRun(a, s, now), []placement.Placement{placement.Place{Ticket: a.Ticket, Life: p.servers[s].life}}
+		}
+	}
+	if refusal, ok := p.hopeless(n, a, now, now); ok {
+		return p, []placement.Placement{refusal}
+	}
+	if wait, left := p.wait(n, a, now), a.Deadline.Sub(now); wait > 0 && wait+p.workOf(a.Rank)/2 > left {
 		return p, []placement.Placement{placement.Refuse{Ticket: a.Ticket, Reason: placement.Overload,
 			RetryAfter: min(retryMost, max(retryLeast, wait+p.workOf(a.Rank)-left))}}
 	}
-	p.waiting = p.waiting.With(a, now.Add(p.workOf(a.Rank)).After(a.Objective))
-	p.asked = p.asked.Set(a.Ticket, now)
-	return p.dispatched(now)
+	p = p.withQueue(n, p.queues[n].With(a, p.isLate(a, now)))
+	p.waiting = p.waiting.Set(a.Ticket, waiting{queue: n, since: now})
+	return p.dispatched(n, now)
 }
 
 // WithoutAsk returns the pool without a request whose caller has left, and what that allows to run.
 func (p Pool) WithoutAsk(ticket uint64, now time.Time) (Pool, []placement.Placement) {
-	if p.waiting.Has(ticket) {
+	if _, ok := p.waiting.Get(ticket); ok {
 		return p.withoutWaiting(ticket), nil
 	}
 	if r, ok := p.runs.Get(ticket); ok {
-		return p.withoutRun(ticket, r).dispatched(now)
+		return p.withoutRun(ticket, r).dispatchedAfter(r.life, now)
 	}
 	return p, nil
 }
@@ -49,10 +59,11 @@
 	if ok {
 		p = p.withoutRun(r.Ticket, running)
 	}
-	s, known := p.servers[r.Life]
+	n, known := p.find(r.Life)
 	if !known {
-		return p.dispatched(now)
+		return p, nil
 	}
+	s := *p.servers[n]
 	if r.HasLoad() {
 		s.foreign, s.foreignAt = max(0, r.Running+r.Waiting-s.running-1), now
 	}
@@ -77,61 +88,68 @@
 		s = s.withFailure(true).withRest(now)
 	case report.NotOwner, report.Left, report.Unsent:
 	}
-	return p.withServer(r.Life, s).dispatched(now)
+	return p.withServer(n, s).dispatchedAfter(r.Life, now)
 }
 
 // WithHeld returns the pool without the slots of a host that no longer uses them: those given out before a time that are
 // not among the tickets that it names. It makes up for reports that were lost.
 func (p Pool) WithHeld(host uint32, held map[uint64]bool, before, now time.Time) (Pool, []placement.Placement) {
-	var over []uint64
-	for itr := p.runs.Iterator(); !itr.Done(); {
-		if ticket, r, _ := itr.Next(); r.host == host && !held[ticket] && r.since.Before(before) {
-			over = append(over, ticket)
+	return p.withoutRuns(func(ticket uint64, r run) bool {
+		return r.host == host && !held[ticket] && r.since.Before(before)
+	}).dispatchedAll(now)
+}
+
+// WithTick returns the pool after some time: requests and slots whose time is over are gone, and so are requests that
+// can't be served in time any more.
+func (p Pool) WithTick(now time.Time) (Pool, []placement.Placement) {
+	p = p.withoutRuns(func(_ uint64, r run) bool { return now.After(r.until.Add(runSlack)) })
+	p.load = p.load.Pruned(now)
+	p.queues = slices.Clone(p.queues)
+	var refused []placement.Placement
+	for n, q := range p.queues {
+		if q.Len() > 0 {
+			p.queues[n] = q.Late(now, p.workOf)
+			p, refused = p.withoutUnservable(n, refused, now)
 		}
 	}
-	if len(over) == 0 {
-		return p, nil
-	}
-	for _, ticket := range over {
-		r, _ := p.runs.Get(ticket)
-		p = p.withoutRun(ticket, r)
-	}
-	return p.dispatched(now)
+	p, placed := p.dispatchedAll(now)
+	return p, append(refused, placed...)
 }
 
-// WithTick returns the pool after some time: requests and slots whose time is over are gone.
-func (p Pool) WithTick(now time.Time) (Pool, []placement.Placement) {
-	var over []uint64
+func (p Pool) withoutRuns(isOver func(ticket uint64, r run) bool) Pool {
+	over := map[uint64]run{}
 	for itr := p.runs.Iterator(); !itr.Done(); {
-		if ticket, r, _ := itr.Next(); now.After(r.until.Add(runSlack)) {
-			over = append(over, ticket)
+		if ticket, r, _ := itr.Next(); isOver(ticket, r) {
+			over[ticket] = r
 		}
 	}
-	for _, ticket := range over {
-		r, _ := p.runs.Get(ticket)
+	for ticket, r := range over {
 		p = p.withoutRun(ticket, r)
 	}
-	p.load = p.load.Pruned(now)
-	return p.dispatched(now)
+	return p
 }
 
 func (p Pool) withoutWaiting(ticket uint64) Pool {
-	p.waiting = p.waiting.Without(ticket)
-	p.asked = p.asked.Delete(ticket)
-	return p
+	w, ok := p.waiting.Get(ticket)
+	if !ok {
+		return p
+	}
+	p.waiting = p.waiting.Delete(ticket)
+	return p.withQueue(w.queue, p.queues[w.queue].Without(ticket))
 }
 
 func (p Pool) withoutRun(ticket uint64, r run) Pool {
 	p.runs = p.runs.Delete(ticket)
-	s, ok := p.servers[r.life]
+	n, ok := p.find(r.life)
 	if !ok {
 		return p
 	}
+	s := *p.servers[n]
 	s.running = max(0, s.running-1)
 	if s.running > 0 && s.oldest.Equal(r.since) {
 		s.oldest = p.oldestOf(r.life)
 	}
-	return p.withServer(r.life, s)
+	return p.withServer(n, s)
 }
 
 func (p Pool) oldestOf(life string) time.Time {
--- /dev/null
+++ b/core/pool/benchmark_test.go
@@ -0,0 +1,76 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"redwingsill/core/ask"
+	"redwingsill/core/holding"
+	"redwingsill/core/instance"
+	"redwingsill/core/keymap"
+	"redwingsill/core/keyrange"
+	"redwingsill/core/placement"
+	"redwingsill/core/pool"
+	"redwingsill/core/report"
+)
+
+// BenchmarkRequest takes a request through a pool of 13 servers with 6 slots each: an ask and the report that frees the
+// slot, with as many requests waiting as the name says.
+func BenchmarkRequest(b *testing.B) {
+	for _, isDivided := range []bool{false, true} {
+		for _, waiting := range []int{0, 50, 200} {
+			b.Run(fmt.Sprintf("divided=%v/waiting=%d", isDivided, waiting), func(b *testing.B) {
+				now := time.Unix(1000, 0)
+				var servers []instance.Instance
+				keys := keymap.New()
+				for i := range 13 {
+					s := instance.Instance{ID: fmt.Sprint("s", i), Service: "s", DataCentre: "a", Slots: 6}
+					servers = append(servers, s)
+					keys = keys.With(holding.Holding{Range: keyrange.Range{From: i * 5000, To: i*5000 + 4999}, Owner: s.Life(), Fence: int64(i)})
+				}
+				p, _ := pool.New(isDivided, 1).WithServers(servers, now)
+				p, _ = p.WithKeys(keys, nil, now)
+				next := func(n int) ask.Ask {
+					a := ask.Ask{Ticket: uint64(n), DataCentre: "a", Service: "s", Key: ask.NoKey, Objective: now.Add(250 * time.Millisecond),
+						Deadline: now.Add(time.Hour), MayRepeat: true}
+					if isDivided {
+						a.Key = (n * 7919) % 65000
+					}
+					return a
+				}
+				var placed []placement.Place
+				n := 0
+				for p.Waiting() < max(1, waiting) {
+					n++
+					var done []placement.Placement
+					p, done = p.WithAsk(next(n), now)
+					for _, d := range done {
+						if d, ok := d.(placement.Place); ok {
+							placed = append(placed, d)
+						}
+					}
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					now = now.Add(time.Millisecond)
+					n++
+					var done, freed []placement.Placement
+					p, done = p.WithAsk(next(n), now)
+					if len(placed) > 0 {
+						r := placed[0]
+						placed = placed[1:]
+						p, freed = p.WithReport(report.Report{Ticket: r.Ticket, Life: r.Life, Result: report.Answered, Took: 80 * time.Millisecond, Running: -1}, now)
+					}
+					for _, d := range append(done, freed...) {
+						if d, ok := d.(placement.Place); ok {
+							placed = append(placed, d)
+						}
+					}
+					_ = i
+				}
+			})
+		}
+	}
+}
--- a/core/pool/constants.go
+++ b/core/pool/constants.go
@@ -28,8 +28,6 @@
 	failureWeight = 0.2
 	// leastPart is the part of the average work that a request may get by with: half of all take less than 0.7 of it.
 	leastPart = 0.5
-	// lateEvery is how often requests are looked through for those that have become late: a fraction of any objective.
-	lateEvery = 20 * time.Millisecond
 	// unreachableRetry is what a caller is told whose key's owner can't be reached from this host: another may reach it.
 	unreachableRetry = 250 * time.Millisecond
 	// retryLeast and retryMost bound what a refused caller is told to wait.
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -5,121 +5,130 @@
 	"time"
 
 	"redwingsill/core/ask"
-	"redwingsill/core/instance"
 	"redwingsill/core/placement"
 )
 
-// dispatched returns the pool after every request that can run now has a slot, and every one that is over is refused.
-func (p Pool) dispatched(now time.Time) (Pool, []placement.Placement) {
-	if p.waiting.Len() == 0 {
+// dispatchedAll returns the pool after every request that can run now has a slot.
+func (p Pool) dispatchedAll(now time.Time) (Pool, []placement.Placement) {
+	var all []placement.Placement
+	for n := range p.queues {
+		var done []placement.Placement
+		p, done = p.dispatched(n, now)
+		all = append(all, done...)
+	}
+	return p, all
+}
+
+// dispatchedAfter is the same after a slot of one server has become free.
+func (p Pool) dispatchedAfter(life string, now time.Time) (Pool, []placement.Placement) {
+	n, ok := p.find(life)
+	if !ok {
 		return p, nil
 	}
-	var done []placement.Placement
-	if now.Sub(p.lateAt) >= lateEvery {
-		p.waiting, p.lateAt = p.waiting.Late(now, p.workOf), now
-		p, done = p.withoutUnservable(now)
+	p, done := p.dispatched(n, now)
+	p, more := p.dispatched(p.common(), now)
+	return p, append(done, more...)
+}
+
+// dispatched returns the pool after every request of one queue that can run now has a slot, and those that are over or
+// without hope are refused.
+func (p Pool) dispatched(n int, now time.Time) (Pool, []placement.Placement) {
+	if p.queues[n].Len() == 0 {
+		return p, nil
 	}
-	waiting := p.waiting
-	waiting.Each(func(a ask.Ask) bool {
+	var done []placement.Placement
+	p.queues[n].Each(func(a ask.Ask) bool {
 		if !now.Before(a.Deadline) {
 			done = append(done, placement.Refuse{Ticket: a.Ticket, Reason: placement.Expired, RetryAfter: retryLeast})
 			p = p.withoutWaiting(a.Ticket)
 			return true
 		}
-		life, ok := p.choose(a, now)
-		if ok {
-			done = append(done, placement.Place{Ticket: a.Ticket, Life: life})
-			p = p.withoutWaiting(a.Ticket).withRun(a, life, now)
+		if s, ok := p.choose(n, a, now); ok {
+			done = append(done, placement.Place{Ticket: a.Ticket, Life: p.servers[s].life})
+			p = p.withoutWaiting(a.Ticket).withRun(a, s, now)
 			return true
 		}
-		if refusal, ok := p.hopeless(a, now); ok {
+		w, _ := p.waiting.Get(a.Ticket)
+		if refusal, ok := p.hopeless(n, a, w.since, now); ok {
 			done = append(done, refusal)
 			p = p.withoutWaiting(a.Ticket)
 			return true
 		}
-		return p.isDivided || p.hasRoom(now)
+		return p.hasRoom(n, now)
 	})
 	return p, done
 }
 
-func (p Pool) withRun(a ask.Ask, life string, now time.Time) Pool {
-	p.runs = p.runs.Set(a.Ticket, run{life: life, rank: a.Rank, since: now, until: a.Deadline, host: hostOf(a.Ticket), key: a.Key})
-	s := p.servers[life]
+func (p Pool) withRun(a ask.Ask, n int, now time.Time) Pool {
+	s := *p.servers[n]
+	p.runs = p.runs.Set(a.Ticket, run{life: s.life, rank: a.Rank, since: now, until: a.Deadline, host: hostOf(a.Ticket), key: a.Key})
 	if s.running == 0 {
 		s.oldest = now
 	}
 	s.running++
-	s.usedAt = now
-	return p.withServer(life, s)
+	return p.withServer(n, s)
 }
 
 // hopeless returns the refusal of a request that no server may run although there is time left.
-func (p Pool) hopeless(a ask.Ask, now time.Time) (placement.Refuse, bool) {
-	if a.HasKey() && p.isDivided {
-		asked, _ := p.asked.Get(a.Ticket)
-		life, ok := p.ownerOf(a)
-		s := p.servers[life]
-		switch {
-		case !ok && now.Sub(asked) > ownerWait:
-			return placement.Refuse{Ticket: a.Ticket, Reason: placement.NoOwner, RetryAfter: time.Second}, true
-		case ok && (now.Before(s.restUntil) || s.isBlocked(hostOf(a.Ticket), now)):
+func (p Pool) hopeless(n int, a ask.Ask, since, now time.Time) (placement.Refuse, bool) {
+	switch {
+	case n != p.common():
+		if s := p.servers[n]; now.Before(s.restUntil) || s.isBlocked(hostOf(a.Ticket), now) {
 			return placement.Refuse{Ticket: a.Ticket, Reason: placement.Unreachable, RetryAfter: unreachableRetry}, true
 		}
 		return placement.Refuse{}, false
+	case p.isOwned(a):
+		return placement.Refuse{Ticket: a.Ticket, Reason: placement.NoOwner, RetryAfter: time.Second}, now.Sub(since) > ownerWait
 	}
-	for life, s := range p.servers {
-		if !s.instance.IsLeaving && !s.isBlocked(hostOf(a.Ticket), now) && !slices.Contains(a.Excluded, life) {
+	for _, s := range p.servers {
+		if !s.instance.IsLeaving && !s.isBlocked(hostOf(a.Ticket), now) && !slices.Contains(a.Excluded, s.life) {
 			return placement.Refuse{}, false
 		}
 	}
 	return placement.Refuse{Ticket: a.Ticket, Reason: placement.NoServers, RetryAfter: time.Second}, true
 }
 
-func (p Pool) hasRoom(now time.Time) bool {
-	for _, s := range p.servers {
-		if !s.instance.IsLeaving && s.free(p.share, now) > 0 {
-			return true
-		}
+// hasRoom reports whether any server could run a request of a queue.
+func (p Pool) hasRoom(n int, now time.Time) bool {
+	if n != p.common() {
+		return p.servers[n].free(p.share, now) > 0
 	}
-	return false
+	return p.isDivided || slices.ContainsFunc(p.servers, func(s *server) bool { return p.isOpen(s, now) })
 }
 
-// choose returns the life of the server that a request should run on now, and whether there is one.
-func (p Pool) choose(a ask.Ask, now time.Time) (string, bool) {
-	if p.isDivided && a.HasKey() {
-		life, ok := p.ownerOf(a)
-		if !ok {
-			return "", false
-		}
-		s := p.servers[life]
-		if s.free(p.share, now) <= 0 || now.Before(s.restUntil) || s.isBlocked(hostOf(a.Ticket), now) || !s.instance.IsOpen(now) {
-			return "", false
-		}
-		return life, true
+// choose returns the server that a request of a queue should run on now, and whether there is one.
+func (p Pool) choose(n int, a ask.Ask, now time.Time) (int, bool) {
+	host := hostOf(a.Ticket)
+	if n != p.common() {
+		s := p.servers[n]
+		return n, s.free(p.share, now) > 0 && !now.Before(s.restUntil) && !s.isBlocked(host, now) && s.instance.IsOpen(now)
+	}
+	if p.isOwned(a) {
+		return 0, false
 	}
-	best, bestCost := "", rankedCost{}
-	for life, s := range p.servers {
-		if !p.isOpen(s, now) || s.isBlocked(hostOf(a.Ticket), now) || slices.Contains(a.Excluded, life) {
+	best, bestCost := -1, rankedCost{}
+	work := p.workOf(a.Rank)
+	for i, s := range p.servers {
+		if !p.isOpen(s, now) || s.isBlocked(host, now) || slices.Contains(a.Excluded, s.life) {
 			continue
 		}
-		if c := p.cost(s, a, life, now); best == "" || c.isLess(bestCost) {
-			best, bestCost = life, c
+		if c := s.cost(a, work, now); best < 0 || c.isLess(bestCost) {
+			best, bestCost = i, c
 		}
 	}
-	return best, best != ""
+	return best, best >= 0
 }
 
-func (p Pool) isOpen(s server, now time.Time) bool {
+func (p Pool) isOpen(s *server, now time.Time) bool {
 	return !s.instance.IsLeaving && s.free(p.share, now) > 0 && !now.Before(s.restUntil)
 }
 
 // cost ranks a server for a request: first whether the answer is likely to be in time, then whether it stays in the data
 // centre, then how long it takes.
-func (p Pool) cost(s server, a ask.Ask, life string, now time.Time) rankedCost {
-	expected := s.expected(p.workOf(a.Rank), now)
+func (s *server) cost(a ask.Ask, work time.Duration, now time.Time) rankedCost {
+	expected := s.expected(work, now)
 	isInTime := float64(expected) <= abroadMargin*float64(a.Objective.Sub(now))
-	isNear := s.instance.DataCentre == a.DataCentre
-	c := rankedCost{expected: expected, life: life}
+	c := rankedCost{expected: expected, life: s.life}
 	if s.known < 3 && now.After(s.instance.WarmUntil) {
 		c.expected = expected * 8 / 10 // a server that is hardly known is tried early
 	}
@@ -128,14 +137,8 @@
 	}
 	if !isInTime {
 		c.class += 2
-	} else if !isNear {
+	} else if s.instance.DataCentre != a.DataCentre {
 		c.class++
 	}
 	return c
 }
-
-// InstanceOf returns the instance of a life.
-func (p Pool) InstanceOf(life string) (instance.Instance, bool) {
-	s, ok := p.servers[life]
-	return s.instance, ok
-}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -2,6 +2,7 @@
 package pool
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -24,49 +25,58 @@
 	isDivided bool
 	// share is the part of each server's slots that this pool may give out.
 	share float64
-	// servers is by life. It is copied before it changes.
-	servers map[string]server
+	// servers is in the order of the lives, and index finds them. The slice is copied before it changes.
+	servers []*server
+	index   map[string]int
+	// queues has the requests that wait for each server, as the owner of their key, and last those that any may run or
+	// whose key nobody owns. The slice is copied before it changes.
+	queues  []waitlist.Waitlist
+	waiting *immutable.Map[uint64, waiting]
+	runs    *immutable.Map[uint64, run]
 	keys    keymap.Map
 	moving  []keyrange.Range
 	load    keyload.Load
-	waiting waitlist.Waitlist
-	asked   *immutable.Map[uint64, time.Time]
-	runs    *immutable.Map[uint64, run]
 	work    map[int]pace.Pace
-	lateAt  time.Time
 }
 
 // New returns a pool without servers that may give out a share of each server's slots, from 0 to 1.
 func New(isDivided bool, share float64) Pool {
-	return Pool{isDivided: isDivided, share: share, load: keyload.New(), waiting: waitlist.New(),
-		asked: immutable.NewMap[uint64, time.Time](nil), runs: immutable.NewMap[uint64, run](nil)}
+	return Pool{isDivided: isDivided, share: share, load: keyload.New(), queues: []waitlist.Waitlist{waitlist.New()},
+		waiting: immutable.NewMap[uint64, waiting](nil), runs: immutable.NewMap[uint64, run](nil)}
 }
 
 // WithShare returns the pool with another share of the slots, and what that allows to run.
 func (p Pool) WithShare(share float64, now time.Time) (Pool, []placement.Placement) {
 	p.share = share
-	return p.dispatched(now)
+	return p.dispatchedAll(now)
 }
 
 // WithServers returns the pool with the service's backend servers, and what that allows to run.
 func (p Pool) WithServers(instances []instance.Instance, now time.Time) (Pool, []placement.Placement) {
-	servers := make(map[string]server, len(instances))
+	asks := p.asks()
+	servers := make([]*server, 0, len(instances))
 	for _, i := range instances {
-		s, ok := p.servers[i.Life()]
-		if !ok {
-			s = server{}
+		next := server{}
+		if old, ok := p.find(i.Life()); ok {
+			next = *p.servers[old]
 		}
-		s.instance = i
-		servers[i.Life()] = s
+		next.instance, next.life = i, i.Life()
+		servers = append(servers, &next)
 	}
+	slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.life, b.life) })
 	p.servers = servers
-	return p.dispatched(now)
+	p.index = make(map[string]int, len(servers))
+	for n, s := range servers {
+		p.index[s.life] = n
+	}
+	return p.regrouped(asks, now).dispatchedAll(now)
 }
 
 // WithKeys returns the pool with the owners of keys, and what that allows to run.
 func (p Pool) WithKeys(m keymap.Map, moving []keyrange.Range, now time.Time) (Pool, []placement.Placement) {
+	asks := p.asks()
 	p.keys, p.moving = m, moving
-	return p.dispatched(now)
+	return p.regrouped(asks, now).dispatchedAll(now)
 }
 
 // WithDivided returns the pool for a service that is or is not divided by key.
@@ -75,6 +85,37 @@
 	return p
 }
 
+// asks returns all requests that wait.
+func (p Pool) asks() []ask.Ask {
+	var all []ask.Ask
+	for _, q := range p.queues {
+		q.Each(func(a ask.Ask) bool {
+			all = append(all, a)
+			return true
+		})
+	}
+	return all
+}
+
+// regrouped returns the pool with the requests in the queues of those who own their keys now.
+func (p Pool) regrouped(asks []ask.Ask, now time.Time) Pool {
+	p.queues = make([]waitlist.Waitlist, len(p.servers)+1)
+	for n := range p.queues {
+		p.queues[n] = waitlist.New()
+	}
+	for _, a := range asks {
+		n := p.queueOf(a)
+		p.queues[n] = p.queues[n].With(a, p.isLate(a, now))
+		w, _ := p.waiting.Get(a.Ticket)
+		p.waiting = p.waiting.Set(a.Ticket, waiting{queue: n, since: w.since})
+	}
+	return p
+}
+
+func (p Pool) isLate(a ask.Ask, now time.Time) bool {
+	return now.Add(p.workOf(a.Rank)).After(a.Objective)
+}
+
 // Load returns the recent work for each key.
 func (p Pool) Load() keyload.Load { return p.load }
 
@@ -93,8 +134,8 @@
 // Speeds returns how much slower than the service's average each life is; 1 is average.
 func (p Pool) Speeds() map[string]float64 {
 	speeds := make(map[string]float64, len(p.servers))
-	for life, s := range p.servers {
-		speeds[life] = s.factor()
+	for _, s := range p.servers {
+		speeds[s.life] = s.factor()
 	}
 	return speeds
 }
@@ -115,18 +156,28 @@
 
 func (p Pool) workOf(rank int) time.Duration { return p.work[rank].Mean(unknownWork) }
 
-func (p Pool) withServer(life string, s server) Pool {
-	p.servers = maps.Clone(p.servers)
-	p.servers[life] = s
+func (p Pool) find(life string) (int, bool) {
+	n, ok := p.index[life]
+	return n, ok
+}
+
+func (p Pool) withServer(n int, s server) Pool {
+	p.servers = slices.Clone(p.servers)
+	p.servers[n] = &s
+	return p
+}
+
+func (p Pool) withQueue(n int, q waitlist.Waitlist) Pool {
+	p.queues = slices.Clone(p.queues)
+	p.queues[n] = q
 	return p
 }
 
 func (p Pool) withWork(rank int, took time.Duration) Pool {
-	p.work = maps.Clone(p.work)
-	if p.work == nil {
-		p.work = map[int]pace.Pace{}
-	}
-	p.work[rank] = p.work[rank].With(took)
+	next := make(map[int]pace.Pace, len(p.work)+1)
+	maps.Copy(next, p.work)
+	next[rank] = next[rank].With(took)
+	p.work = next
 	return p
 }
 
@@ -134,12 +185,29 @@
 	return slices.ContainsFunc(p.moving, func(r keyrange.Range) bool { return r.Contains(key) })
 }
 
-// ownerOf returns the life that may run requests for the key, and whether there is one now.
-func (p Pool) ownerOf(a ask.Ask) (string, bool) {
-	h, ok := p.keys.OwnerOf(a.Key)
-	if !ok || p.isMoving(a.Key) {
-		return "", false
+// common returns the queue of requests that wait for no server of their own.
+func (p Pool) common() int { return len(p.servers) }
+
+// isOwned reports whether a request must go to the owner of its key.
+func (p Pool) isOwned(a ask.Ask) bool { return p.isDivided && a.HasKey() }
+
+// queueOf returns the queue that a request waits in.
+func (p Pool) queueOf(a ask.Ask) int {
+	if p.isOwned(a) {
+		if h, ok := p.keys.OwnerOf(a.Key); ok && !p.isMoving(a.Key) {
+			if n, known := p.find(h.Owner); known {
+				return n
+			}
+		}
+	}
+	return p.common()
+}
+
+// InstanceOf returns the instance of a life.
+func (p Pool) InstanceOf(life string) (instance.Instance, bool) {
+	n, ok := p.find(life)
+	if !ok {
+		return instance.Instance{}, false
 	}
-	_, known := p.servers[h.Owner]
-	return h.Owner, known
+	return p.servers[n].instance, true
 }
--- a/core/pool/pressures.go
+++ b/core/pool/pressures.go
@@ -10,12 +10,16 @@
 // Pressures returns how busy each owner is, by life.
 func (p Pool) Pressures(now time.Time) map[string]pressure.Pressure {
 	all := make(map[string]pressure.Pressure, len(p.servers))
-	for life, s := range p.servers {
+	for n, s := range p.servers {
 		one := pressure.Pressure{}
 		if !s.instance.IsLeaving && s.strikes == 0 && s.failing <= doubtful && !now.Before(s.instance.WarmUntil) {
 			one.Free = max(0, s.free(p.share, now))
 		}
-		all[life] = one
+		p.queues[n].Each(func(a ask.Ask) bool {
+			one.Waiting = append(one.Waiting, a.Key)
+			return true
+		})
+		all[s.life] = one
 	}
 	for itr := p.runs.Iterator(); !itr.Done(); {
 		_, r, _ := itr.Next()
@@ -24,15 +28,5 @@
 			all[r.life] = one
 		}
 	}
-	p.waiting.Each(func(a ask.Ask) bool {
-		if a.HasKey() {
-			if owner, ok := p.ownerOf(a); ok {
-				one := all[owner]
-				one.Waiting = append(one.Waiting, a.Key)
-				all[owner] = one
-			}
-		}
-		return true
-	})
 	return all
 }
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -9,6 +9,7 @@
 // server is one backend server as the pool sees it.
 type server struct {
 	instance instance.Instance
+	life     string
 	// running is how many requests of this pool it has, and oldest when the first of them was sent.
 	running int
 	oldest  time.Time
--- a/io/dispatch/constants.go
+++ b/io/dispatch/constants.go
@@ -4,9 +4,9 @@
 
 const (
 	// firstWait is when an ask without an answer is sent again: some times the way between data centres of a region.
-	firstWait = 40 * time.Millisecond
-	// secondWait bounds the growing time between further repeats.
-	secondWait = 80 * time.Millisecond
+	firstWait = 60 * time.Millisecond
+	// secondWait bounds the growing time between further repeats, so that a busy host does not get more to do.
+	secondWait = 120 * time.Millisecond
 	// patience is after how much silence a host counts as gone: more than the pause of a processor whose quota is used up.
 	patience = 260 * time.Millisecond
 	// queuedWait is after how long an ask that waits is repeated, to find out whether the other host still knows it.
--- a/io/dispatch/hosts.go
+++ b/io/dispatch/hosts.go
@@ -38,7 +38,9 @@
 		if len(found) == mostCandidates {
 			break
 		}
-		add(h.Name, h.Address)
+		if h.Name != hosts.Coordinator || hosts.Len() == 1 { // the coordinator has enough to do
+			add(h.Name, h.Address)
+		}
 	}
 	return found
 }
@@ -104,10 +106,18 @@
 		return 1
 	}
 	hosts := d.directory.Read()
-	if order := hosts.Order(service); len(order) == 0 || order[0].Name == d.name || hosts.Coordinator == d.name {
+	if hosts.Coordinator == d.name {
 		return 1
 	}
-	return 1 / float64(hosts.Len())
+	for _, h := range hosts.Order(service) {
+		if h.Name == d.name {
+			return 1
+		}
+		if h.Name != hosts.Coordinator {
+			return 1 / float64(hosts.Len())
+		}
+	}
+	return 1
 }
 
 // tellHeld tells each host that gave out slots lately which of them are in use, also when none is: a report may be lost.
