Tests of the platform's parts and of whole hosts, and the faults that they found

Cause and change, each found by a test that failed first: - a host that stopped in order hung until SIGKILL: the listener behind the HTTP server never ended; - servers of a front were read and written by two goroutines; - small ranges never joined, since each had a token of its own, and were given to busy neighbours: a range now takes its owner's neighbours in under its token, and only idle neighbours get more; - a busy server that had only small ranges kept them all: the largest that fits is moved; - a server that joined got keys without work where each key with work was more than its part; - a bound on connections counted as an unreachable server; - the first coordinator ever waited 17 s for grants of earlier ones.

--- a/core/keymap/keymap.go
+++ b/core/keymap/keymap.go
@@ -39,6 +39,21 @@
 	return Map{holdings: merged(next)}
 }
 
+// WithJoined is With, but takes the ranges next to h that have the same owner in under h's token, unless they overlap one
+// of those to leave. It returns the map in which one grant covers all of them.
+func (m Map) WithJoined(h holding.Holding, leave []keyrange.Range) Map {
+	for _, other := range m.holdings {
+		isLeft := slices.ContainsFunc(leave, func(r keyrange.Range) bool { return r.Overlaps(other.Range) })
+		if other.Owner != h.Owner || isLeft {
+			continue
+		}
+		if other.Range.From <= h.Range.To+1 && h.Range.From <= other.Range.To+1 {
+			h.Range = keyrange.Range{From: min(h.Range.From, other.Range.From), To: max(h.Range.To, other.Range.To)}
+		}
+	}
+	return m.With(h)
+}
+
 // merged joins neighbours of the same owner and token.
 func merged(sorted []holding.Holding) []holding.Holding {
 	joined := sorted[:0:0]
--- /dev/null
+++ b/core/keymap/keymap_test.go
@@ -0,0 +1,70 @@
+package keymap_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"redwingsill/core/holding"
+	"redwingsill/core/keymap"
+	"redwingsill/core/keyrange"
+)
+
+// TestMapAsArray compares the map with an array that names the owner of each key.
+func TestMapAsArray(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := keymap.New()
+		var owners [keyrange.Last + 1]string
+		for fence := range rapid.IntRange(1, 30).Draw(t, "holdings") {
+			from := rapid.IntRange(0, keyrange.Last).Draw(t, "from")
+			r := keyrange.Range{From: from, To: rapid.IntRange(from, keyrange.Last).Draw(t, "to")}
+			owner := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "owner")
+			m = m.With(holding.Holding{Range: r, Owner: owner, Fence: int64(fence)})
+			for key := r.From; key <= r.To; key++ {
+				owners[key] = owner
+			}
+		}
+		last := -1
+		for _, h := range m.Holdings() {
+			if h.Range.From <= last {
+				t.Fatalf("holdings overlap: %v", m.Holdings())
+			}
+			last = h.Range.To
+		}
+		width := map[string]int{}
+		gaps := 0
+		for key, owner := range owners {
+			h, ok := m.OwnerOf(key)
+			if ok != (owner != "") || h.Owner != owner {
+				t.Fatalf("key %d is owned by %q, not %q", key, h.Owner, owner)
+			}
+			width[owner]++
+			if owner == "" {
+				gaps++
+			}
+		}
+		for _, owner := range []string{"a", "b", "c"} {
+			if m.Width(owner) != width[owner] {
+				t.Fatalf("%s has %d keys, not %d", owner, m.Width(owner), width[owner])
+			}
+		}
+		for _, g := range m.Gaps() {
+			gaps -= g.Width()
+		}
+		if gaps != 0 {
+			t.Fatalf("gaps differ by %d keys: %v", gaps, m.Gaps())
+		}
+	})
+}
+
+func TestNewTakesTheHigherToken(t *testing.T) {
+	m := keymap.New(
+		holding.Holding{Range: keyrange.Range{From: 0, To: 9}, Owner: "new", Fence: 2},
+		holding.Holding{Range: keyrange.Range{From: 0, To: 99}, Owner: "old", Fence: 1},
+	)
+	for key, owner := range map[int]string{0: "new", 9: "new", 10: "old", 99: "old"} {
+		if h, _ := m.OwnerOf(key); h.Owner != owner {
+			t.Errorf("key %d is owned by %s, not %s", key, h.Owner, owner)
+		}
+	}
+}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -45,12 +45,16 @@
 }
 
 // New returns the state of a host that has just become the coordinator: the durable map as it was read, and the highest
-// fencing token that any coordinator has reserved.
+// fencing token that any coordinator has reserved, or 0 where there was none yet.
 func New(t Terms, keys keymap.Map, fence int64, now time.Time) Ownership {
-	return Ownership{terms: t, keys: keys, fence: fence, reserved: fence, first: fence,
-		inheritedUntil: now.Add(t.Extension + t.CallTimeout + t.LongestHold()), settledAt: now.Add(t.Settle),
-		members: map[string]instance.Instance{}, known: map[string]life{}, renewals: map[keyrange.Range]renewal{},
+	o := Ownership{terms: t, keys: keys, fence: fence, reserved: fence, first: fence,
+		settledAt: now.Add(t.Settle),
+		members:   map[string]instance.Instance{}, known: map[string]life{}, renewals: map[keyrange.Range]renewal{},
 		moves: map[keyrange.Range]move{}, grants: map[int64]grant{}, releases: map[int64]keyrange.Range{}}
+	if fence > 0 {
+		o.inheritedUntil = now.Add(t.Extension + t.CallTimeout + t.LongestHold())
+	}
+	return o
 }
 
 // WithLease returns the state with the lease renewed until a time. Renewals of grants go on for a while after it.
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -227,7 +227,7 @@
 		o = next
 		m.next, m.stage = fence, saving
 		o = o.withMove(r, m)
-		keys = keys.With(holding.Holding{Range: r, Owner: m.to, Fence: fence})
+		keys = keys.WithJoined(holding.Holding{Range: r, Owner: m.to, Fence: fence}, o.moving())
 		saved = append(saved, r)
 	}
 	if len(saved) == 0 && !reserves {
--- a/core/reshard/reshard.go
+++ b/core/reshard/reshard.go
@@ -164,15 +164,25 @@
 		if from < 0 {
 			continue
 		}
-		want := min(p.mean()*p.owners[i].capacity*newcomerPart, p.owners[from].load*newcomerPart)
-		if r, ok := p.window(from, want); ok {
+		if r, ok := p.forNewcomer(from, p.owners[i].capacity); ok {
 			p.move(r, i)
-			continue
 		}
-		if r, ok := p.widest(); ok {
-			p.move(r, i)
+	}
+}
+
+// forNewcomer returns the keys for a server of a capacity that has none: about its part of the load, more where keys are
+// too busy for that, or keys without load where there is none.
+func (p *Plan) forNewcomer(from int, capacity float64) (keyrange.Range, bool) {
+	most := p.owners[from].load * newcomerPart
+	for want := min(p.mean()*capacity*newcomerPart, most); want > 0; want = min(2*want, most) {
+		if r, ok := p.window(from, want); ok {
+			return r, true
+		}
+		if want >= most {
+			break
 		}
 	}
+	return p.widest()
 }
 
 // widest returns a part of the widest holding, for a server without keys.
@@ -210,13 +220,12 @@
 	}
 }
 
-// window returns the narrowest span of a server's keys whose load is about what is wanted, and whether there is one.
+// window returns the narrowest span of a server's keys whose load is about what is wanted, else the one with the most
+// load up to that, and whether there is one.
 func (p *Plan) window(from int, want float64) (keyrange.Range, bool) {
-	if want <= 0 {
-		return keyrange.Range{}, false
-	}
-	var best keyrange.Range
-	found := false
+	var narrowest, fullest keyrange.Range
+	most := 0.0
+	isFound := false
 	for _, h := range p.keys.Holdings() {
 		if h.Owner != p.owners[from].life || p.isMoving(h.Range) || p.isSettling(h.Range) {
 			continue
@@ -229,16 +238,22 @@
 				sum -= rates[first] * p.work.Seconds()
 				first++
 			}
-			r := keyrange.Range{}
-			if first <= last {
-				r = keyrange.Range{From: keys[first], To: keys[last]}
+			if first > last {
+				continue
+			}
+			r := keyrange.Range{From: keys[first], To: keys[last]}
+			if sum > most {
+				fullest, most = r, sum
 			}
-			if first <= last && sum > want/2 && (!found || r.Width() < best.Width()) {
-				best, found = r, true
+			if sum > want/2 && (!isFound || r.Width() < narrowest.Width()) {
+				narrowest, isFound = r, true
 			}
 		}
 	}
-	return best, found
+	if isFound {
+		return narrowest, true
+	}
+	return fullest, most > 0
 }
 
 func (p *Plan) move(r keyrange.Range, to int) {
--- a/core/reshard/waiting.go
+++ b/core/reshard/waiting.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"redwingsill/core/holding"
 	"redwingsill/core/keyrange"
 )
 
@@ -107,26 +108,42 @@
 	return r, true
 }
 
-// tidy joins small ranges without work to a neighbour's where there are many.
+// tidy joins small ranges with little work to a neighbour's where there are many.
 func (p *Plan) tidy(most int) {
-	holdings := p.keys.Holdings()
-	for joined := 0; joined < mostJoined && len(p.moves) < most && len(holdings) > mostHoldings*len(p.owners); joined++ {
-		best := -1
+	for joined := 0; joined < mostJoined && len(p.moves) < most; joined++ {
+		holdings := p.keys.Holdings()
+		if len(holdings) <= mostHoldings*len(p.owners) {
+			return
+		}
+		best, to := -1, -1
 		for i, h := range holdings {
-			if i == 0 || h.Fence == moved || p.isSettling(h.Range) || holdings[i-1].Fence == moved || p.find(holdings[i-1].Owner) < 0 ||
-				p.isPressed(holdings[i-1].Owner) || p.isPressed(h.Owner) {
+			if h.Fence == moved || p.isSettling(h.Range) || p.isPressed(h.Owner) || best >= 0 && h.Range.Width() >= holdings[best].Range.Width() {
 				continue
 			}
-			if best < 0 || h.Range.Width() < holdings[best].Range.Width() {
-				best = i
+			if n := p.neighbour(holdings, i); n >= 0 {
+				best, to = i, n
 			}
 		}
 		if best < 0 {
 			return
 		}
-		p.move(holdings[best].Range, p.find(holdings[best-1].Owner))
-		holdings = p.keys.Holdings()
+		p.move(holdings[best].Range, to)
+	}
+}
+
+// neighbour returns the owner next to a holding that can take it, or -1.
+func (p *Plan) neighbour(holdings []holding.Holding, i int) int {
+	for _, next := range []int{i - 1, i + 1} {
+		if next < 0 || next >= len(holdings) || holdings[next].Owner == holdings[i].Owner {
+			continue
+		}
+		n := p.find(holdings[next].Owner)
+		if n >= 0 && !p.isPressed(holdings[next].Owner) &&
+			(p.owners[n].load+p.workIn(holdings[i].Range))/p.owners[n].capacity <= fullest {
+			return n
+		}
 	}
+	return -1
 }
 
 func (p *Plan) isPressed(life string) bool { return len(p.pressures[life].Waiting) > 0 }
--- /dev/null
+++ b/core/waitlist/waitlist_test.go
@@ -0,0 +1,47 @@
+package waitlist_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"redwingsill/core/ask"
+	"redwingsill/core/waitlist"
+)
+
+var start = time.Unix(1000, 0)
+
+func asked(ticket uint64, rank int, objective, deadline time.Duration) ask.Ask {
+	return ask.Ask{Ticket: ticket, Rank: rank, Objective: start.Add(objective), Deadline: start.Add(deadline)}
+}
+
+func order(w waitlist.Waitlist) string {
+	all := []uint64{}
+	w.Each(func(a ask.Ask) bool {
+		all = append(all, a.Ticket)
+		return true
+	})
+	return fmt.Sprint(all)
+}
+
+func TestOrder(t *testing.T) {
+	w := waitlist.New().
+		With(asked(1, 1, time.Second, 2*time.Second), false).
+		With(asked(2, 0, 3*time.Second, 4*time.Second), false).
+		With(asked(3, 0, time.Second, 5*time.Second), true).
+		With(asked(4, 1, 500*time.Millisecond, 2*time.Second), false).
+		With(asked(5, 0, 2*time.Second, 3*time.Second), false)
+	if got, want := order(w), "[5 2 3 4 1]"; got != want {
+		t.Errorf("order %s, want %s", got, want)
+	}
+	if got := w.Ahead(asked(9, 1, 700*time.Millisecond, 2*time.Second)); got[0] != 3 || got[1] != 1 {
+		t.Errorf("ahead: %v, want 3 of rank 0 and 1 of rank 1", got)
+	}
+	late := w.Late(start.Add(600*time.Millisecond), func(int) time.Duration { return 300 * time.Millisecond })
+	if got, want := order(late), "[5 2 3 1 4]"; got != want {
+		t.Errorf("order once one is late %s, want %s", got, want)
+	}
+	if got, want := order(w.Without(2).Without(77)), "[5 3 4 1]"; got != want || w.Len() != 5 {
+		t.Errorf("order without 2 %s, want %s; the first list has %d", got, want, w.Len())
+	}
+}
--- a/io/ingress/front.go
+++ b/io/ingress/front.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"redwingsill/core/limits"
@@ -19,8 +21,7 @@
 	ingress *Ingress
 	limits  limits.Limits
 	current *rcu.Value[*handed]
-	ends    chan error
-	servers []*http.Server
+	servers *rcu.Value[[]*http.Server]
 }
 
 // handed is a listener whose connections another one accepted.
@@ -28,6 +29,7 @@
 	net.Listener
 	conns chan net.Conn
 	done  chan struct{}
+	once  sync.Once
 }
 
 // Accept implements net.Listener.
@@ -41,12 +43,15 @@
 }
 
 // Close implements net.Listener. The listener behind it stays open.
-func (h *handed) Close() error { return nil }
+func (h *handed) Close() error {
+	h.once.Do(func() { close(h.done) })
+	return nil
+}
 
 // Front serves a listener until the context ends, with the limits that the newest configuration sets. Once it has ended,
 // idle connections are closed; the returned function closes all.
 func (i *Ingress) Front(ctx context.Context, listener net.Listener, changed <-chan struct{}) (<-chan error, func()) {
-	f := &front{ingress: i, ends: make(chan error, 1)}
+	f := &front{ingress: i, servers: rcu.New([]*http.Server(nil))}
 	f.start(listener, i.routing.Read().Limits)
 	accepted := make(chan error, 1)
 	go func() { accepted <- f.accept(listener) }()
@@ -59,7 +64,7 @@
 					f.start(listener, l)
 				}
 			case <-ctx.Done():
-				for _, s := range f.servers {
+				for _, s := range f.servers.Load() {
 					s.SetKeepAlivesEnabled(false)
 				}
 				ended <- nil
@@ -72,7 +77,7 @@
 	}()
 	return ended, func() {
 		_ = listener.Close() // no caller is taken any more
-		for _, s := range f.servers {
+		for _, s := range f.servers.Load() {
 			_ = s.Close() // the process ends
 		}
 	}
@@ -83,7 +88,7 @@
 	next := &handed{Listener: listener, conns: make(chan net.Conn), done: make(chan struct{})}
 	server := f.ingress.Server(l)
 	f.limits = l
-	f.servers = append(f.servers, server)
+	f.servers.Update(func(old []*http.Server) []*http.Server { return append(slices.Clone(old), server) })
 	go func() { _ = server.Serve(next) }() // ends with the process
 	if f.current == nil {
 		f.current = rcu.New(next)
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -43,7 +43,8 @@
 	}
 	c, err := o.conns.get(ctx, to.Address, limit)
 	if err != nil {
-		if ctx.Err() != nil {
+		var failed *Error
+		if ctx.Err() != nil || errors.As(err, &failed) && failed.Kind == kind.Full {
 			return nil, tell(report.Unsent), err
 		}
 		return nil, tell(report.Unreachable), err
