--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -10,13 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// host is one entry host.
-type host struct {
-	Name       string
-	Address    netip.AddrPort
-	DataCentre string
-}
-
 // Directory is the entry hosts and which of them is the coordinator. It is immutable.
 type Directory struct {
 	hosts map[string]host
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"redwingsill/core/directory"
-	"redwingsill/core/holding"
-	"redwingsill/core/instance"
 	"redwingsill/core/keyrange"
 	"redwingsill/core/ownership"
 	"redwingsill/core/rcu"
@@ -217,17 +215,3 @@
 		}
 	})
 }
-
-// publication is what the desk was told last.
-type publication struct {
-	holdings []holding.Holding
-	moving   []keyrange.Range
-}
-
-// divided is a service whose keys have owners.
-type divided struct {
-	state    ownership.Ownership
-	isLoaded bool
-	revision int64
-	members  []instance.Instance
-}
--- a/io/follow/manner.go
+++ b/io/follow/manner.go
@@ -1,18 +1,8 @@
 package follow
 
-import "time"
-
 // Manner is how a prefix is followed. The variants are [Watching] and [Polling].
 //
 //sumtype:decl
 type Manner interface {
 	manner()
 }
-
-// Watching hears of each change as it is made.
-type Watching struct {
-	// Wait bounds one watch. A watch may miss changes unnoticed as the store forgets its history; the next one shows it.
-	Wait time.Duration
-}
-
-func (Watching) manner() {}
--- a/io/ingress/front.go
+++ b/io/ingress/front.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"redwingsill/core/limits"
@@ -24,30 +23,6 @@
 	servers *rcu.Value[[]*http.Server]
 }
 
-// handed is a listener whose connections another one accepted.
-type handed struct {
-	net.Listener
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-// Accept implements net.Listener.
-func (h *handed) Accept() (net.Conn, error) {
-	select {
-	case c := <-h.conns:
-		return c, nil
-	case <-h.done:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener. The listener behind it stays open.
-func (h *handed) Close() error {
-	h.once.Do(func() { close(h.done) })
-	return nil
-}
-
 // Front serves a listener until the context ends, with the limits that the newest configuration sets. Once it has ended,
 // idle connections are closed; the returned function closes all.
 func (i *Ingress) Front(ctx context.Context, listener net.Listener, changed <-chan struct{}) (<-chan error, func()) {
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -2,15 +2,10 @@
 package origin
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"redwingsill/core/instance"
@@ -134,120 +129,5 @@
 	return answer, err
 }
 
-func (o *Origin) head(to instance.Instance, r Request, left time.Duration) []byte {
-	b := bytes.NewBuffer(make([]byte, 0, 1024+len(r.Body)))
-	line := func(name, value string) {
-		b.WriteString(name)
-		b.WriteString(": ")
-		b.WriteString(value)
-		b.WriteString("\r\n")
-	}
-	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\n")
-	line("Host", r.Host)
-	for name, values := range r.Header {
-		switch name {
-		case o.names.Expect, o.names.Deadline, "Content-Length", "Host", "Expect":
-			continue
-		}
-		if headers.IsHop(name, r.Header["Connection"]) {
-			continue
-		}
-		for _, value := range values {
-			line(name, value)
-		}
-	}
-	line(o.names.Expect, to.ID)
-	line(o.names.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		line("Content-Length", strconv.Itoa(len(r.Body)))
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
-// read reads the answer to a request. An answer to an earlier one may come first and is passed over.
-func (o *Origin) read(c *conn, r Request) (*Answer, error) {
-	method := &http.Request{Method: r.Method}
-	for range mostStrayAnswers {
-		response, err := http.ReadResponse(c.reader, method)
-		if err != nil {
-			return nil, newError("read the head of an answer", kind.Unknown, err)
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		body, err := readBody(response)
-		if err != nil {
-			return nil, newError("read the body of an answer", kind.Unknown, err)
-		}
-		if id := response.Header.Get(o.names.Attempt); id != r.Attempt {
-			if id == "" || response.Close {
-				return nil, newError("match an answer", kind.Unknown, errors.New("the answer has no or another attempt"))
-			}
-			continue
-		}
-		if response.Header.Get("Content-Encoding") != "" {
-			return nil, newError("read the body of an answer", kind.Unknown, errors.New("the answer is encoded"))
-		}
-		return &Answer{Status: response.StatusCode, Header: response.Header, Body: body, isLast: response.Close,
-			keepAlive: keepAliveOf(response.Header.Get("Keep-Alive"))}, nil
-	}
-	return nil, newError("match an answer", kind.Unknown, errors.New("too many answers to other requests"))
-}
-
-func readBody(response *http.Response) ([]byte, error) {
-	defer func() { _ = response.Body.Close() }() // closing a body that was read to its end can't fail in a way that matters
-	if n := response.ContentLength; n > maxAnswer {
-		return nil, errors.New("the answer is too long")
-	} else if n >= 0 {
-		body := make([]byte, n)
-		_, err := io.ReadFull(response.Body, body)
-		if err != nil {
-			return nil, err
-		}
-		_, err = response.Body.Read(make([]byte, 1)) // takes the end, so that the connection is known to be at the next answer
-		if err != nil && err != io.EOF {
-			return nil, err
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
-	if err == nil && len(body) > maxAnswer {
-		err = errors.New("the answer is too long")
-	}
-	return body, err
-}
-
-// keepAliveOf returns how long an idle connection stays open by the answer's own word, or 0 where it has none.
-func keepAliveOf(value string) time.Duration {
-	for _, part := range strings.Split(value, ",") {
-		if seconds, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
-			if n, err := strconv.Atoi(seconds); err == nil {
-				return time.Duration(n) * time.Second
-			}
-		}
-	}
-	return 0
-}
-
-// loadOf returns the running and waiting requests that a server tells, or -1 for each where it tells none.
-func loadOf(value string) (int, int) {
-	parts := strings.Split(value, ",")
-	if len(parts) < 2 {
-		return -1, -1
-	}
-	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
-	if err != nil {
-		return -1, -1
-	}
-	waiting, err := strconv.Atoi(strings.TrimSpace(parts[1]))
-	if err != nil {
-		return -1, -1
-	}
-	return running, waiting
-}
-
-func newReader(c net.Conn) *bufio.Reader { return bufio.NewReaderSize(c, readBuffer) }
-
 // Sweep closes idle connections that are too old to be used again. It is called from time to time.
 func (o *Origin) Sweep() { o.conns.sweep() }
--- /dev/null
+++ b/io/registry/coordinatordocument.go
@@ -0,0 +1,7 @@
+package registry
+
+// coordinatorDocument is the value of the coordinator's key.
+type coordinatorDocument struct {
+	Name string
+	Mark string
+}
--- /dev/null
+++ b/io/registry/hostdocument.go
@@ -0,0 +1,11 @@
+package registry
+
+import (
+	"net/netip"
+)
+
+// hostDocument is the value of a host's key.
+type hostDocument struct {
+	Address    netip.AddrPort
+	DataCentre string
+}
