Long holds while the store is away, a coordinator that resigns only to the store, no idle connection closed at SIGTERM

Change: a lease that is not renewed makes holds of 10 s; a host that stops goes on renewing until the store has taken its lease back; connections stay open until the process ends, later than the last request that is passed on. The time that a life may hold keys is kept with each grant, since they differ. Ruled out: notice of silence (no host was silent then), the desk's load (cores at 0.14 of 0.32).

--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -12,7 +12,7 @@
 func (o Ownership) withGrant(id int64, r keyrange.Range, owner string, now time.Time) Ownership {
 	o.grants = maps.Clone(o.grants)
 	o.grants[id] = grant{owner: owner, of: r}
-	return o.withLife(owner, o.known[owner].withOpen(now, id))
+	return o.withLife(owner, o.known[owner].withOpen(o.heldBy(o.terms.Hold, now), id))
 }
 
 // WithGranted returns the state after grants have ended. They are taken together, since a coordinator has many.
--- a/core/ownership/life.go
+++ b/core/ownership/life.go
@@ -11,43 +11,44 @@
 // life is what the coordinator knows of one life of a backend server.
 type life struct {
 	instance instance.Instance
-	// sentAt is when the newest grant was sent that has or may have arrived, and open are those under way.
-	sentAt time.Time
-	open   map[int64]time.Time
+	// until is until when the grants that have or may have arrived hold, and open the same for those under way.
+	until time.Time
+	open  map[int64]time.Time
 	// lateUntil is until when a grant without an answer may take effect and hold.
 	lateUntil time.Time
 	// isOver says that the life has ended, and with it all that it held.
 	isOver bool
 }
 
-// newest returns when the newest grant was sent that may have arrived.
-func (l life) newest() time.Time {
-	at := l.sentAt
-	for _, sent := range l.open {
-		at = latest(at, sent)
+// holdsUntil returns until when any grant that may have arrived holds, or the zero time.
+func (l life) holdsUntil() time.Time {
+	at := l.until
+	for _, until := range l.open {
+		at = latest(at, until)
 	}
 	return at
 }
 
-func (l life) withOpen(now time.Time, ids ...int64) life {
+// withOpen returns the life with grants under way that hold until a time.
+func (l life) withOpen(until time.Time, ids ...int64) life {
 	next := make(map[int64]time.Time, len(l.open)+len(ids))
 	maps.Copy(next, l.open)
 	for _, id := range ids {
-		next[id] = now
+		next[id] = until
 	}
 	l.open = next
 	return l
 }
 
 func (l life) withEnd(e order.End) life {
-	sent, ok := l.open[e.ID]
+	until, ok := l.open[e.ID]
 	if !ok {
 		return l
 	}
 	l.open = maps.Clone(l.open)
 	delete(l.open, e.ID)
 	if e.Result != order.Unsent {
-		l.sentAt = latest(l.sentAt, sent)
+		l.until = latest(l.until, until)
 	}
 	return l
 }
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -170,11 +170,20 @@
 
 // heldUntil returns until when a life may hold keys that it was granted.
 func (o Ownership) heldUntil(name string) time.Time {
-	sentAt := o.known[name].newest()
-	if sentAt.IsZero() {
-		return o.inheritedUntil
+	return latest(o.inheritedUntil, o.known[name].holdsUntil())
+}
+
+// hold returns for how long keys are granted at now.
+func (o Ownership) hold(now time.Time) time.Duration {
+	if o.movesUntil.Sub(now) < o.terms.Away {
+		return o.terms.HoldAway
 	}
-	return latest(o.inheritedUntil, sentAt.Add(o.terms.CallTimeout+o.terms.LongestHold()))
+	return o.terms.Hold
+}
+
+// heldBy returns until when a grant of a length that is sent at now may hold: it may arrive as late as its call ends.
+func (o Ownership) heldBy(hold time.Duration, now time.Time) time.Time {
+	return now.Add(o.terms.CallTimeout + o.terms.slow(hold))
 }
 
 func latest(a, b time.Time) time.Time {
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -27,7 +27,7 @@
 	})
 }
 
-var worldTerms = ownership.Terms{Hold: 4 * time.Second, ClockSlack: 0.025, CallTimeout: time.Second,
+var worldTerms = ownership.Terms{Hold: 4 * time.Second, HoldAway: 10 * time.Second, Away: lease / 2, ClockSlack: 0.025, CallTimeout: time.Second,
 	Renew: 1100 * time.Millisecond, Retry: 250 * time.Millisecond, Extension: 12 * time.Second, Settle: 500 * time.Millisecond,
 	Plan: 400 * time.Millisecond, Look: 50 * time.Millisecond, Stay: 200 * time.Millisecond, MostMoves: 8}
 
--- a/core/ownership/renew.go
+++ b/core/ownership/renew.go
@@ -13,6 +13,7 @@
 func (o Ownership) withRenewals(orders []order.Order, now time.Time) (Ownership, []order.Order) {
 	due := make(map[keyrange.Range]renewal, len(o.renewals)+1)
 	sent := map[string][]int64{}
+	hold := o.hold(now)
 	for _, h := range o.keys.Holdings() {
 		for _, part := range o.still(h.Range) {
 			g, ok := o.renewals[part]
@@ -23,7 +24,7 @@
 				o, g.id = o.withID()
 				g.sentAt, g.isOpen = now, true
 				sent[g.owner] = append(sent[g.owner], g.id)
-				orders = append(orders, order.Grant{ID: g.id, To: to, Range: part, Fence: g.fence, Hold: o.terms.Hold, Handover: g.handover})
+				orders = append(orders, order.Grant{ID: g.id, To: to, Range: part, Fence: g.fence, Hold: hold, Handover: g.handover})
 			}
 			due[part] = g
 		}
@@ -34,7 +35,7 @@
 	}
 	o.grants, o.known = maps.Clone(o.grants), maps.Clone(o.known)
 	for owner, ids := range sent {
-		o.known[owner] = o.known[owner].withOpen(now, ids...)
+		o.known[owner] = o.known[owner].withOpen(o.heldBy(hold, now), ids...)
 	}
 	for r, g := range due {
 		if g.isOpen {
--- a/core/ownership/terms.go
+++ b/core/ownership/terms.go
@@ -6,6 +6,9 @@
 type Terms struct {
 	// Hold is how long a backend server holds keys from a grant's arrival.
 	Hold time.Duration
+	// HoldAway is the same while less than Away is left of the lease, since the store seems to be away.
+	HoldAway time.Duration
+	Away     time.Duration
 	// ClockSlack is by how much a backend server's clock may run slow, as a part of the time.
 	ClockSlack float64
 	// CallTimeout is when a call to a backend server is given up; what was sent by then may still arrive up to here.
@@ -27,7 +30,10 @@
 	MostMoves int
 }
 
-// LongestHold returns how long a grant may hold by a slow clock.
-func (t Terms) LongestHold() time.Duration {
-	return time.Duration(float64(t.Hold) * (1 + t.ClockSlack))
+// LongestHold returns how long any grant may hold by a slow clock.
+func (t Terms) LongestHold() time.Duration { return t.slow(max(t.Hold, t.HoldAway)) }
+
+// slow returns a time by a slow clock.
+func (t Terms) slow(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + t.ClockSlack))
 }
--- a/io/coordination/constants.go
+++ b/io/coordination/constants.go
@@ -20,6 +20,8 @@
 	campaignPause = 250 * time.Millisecond
 	// savePause is the time between two tries to write.
 	savePause = 150 * time.Millisecond
+	// resignPause is the time between two tries to give the lease up.
+	resignPause = 600 * time.Millisecond
 	// resignTimeout bounds the call that gives the lease up.
 	resignTimeout = 500 * time.Millisecond
 	// resultBuffer holds the results of calls that end at the same time.
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"redwingsill/core/directory"
@@ -40,6 +41,9 @@
 	// results carries what ended calls change in the state.
 	results chan func()
 	changes chan struct{}
+	// isResigning says that this host stops soon.
+	isResigning atomic.Bool
+	resigns     chan struct{}
 
 	reign     reign
 	services  map[string]*divided
@@ -69,7 +73,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			c.resign(wait)
+			c.stop(wait)
 			return
 		case apply := <-c.results:
 			apply()
@@ -89,8 +93,18 @@
 	return idleTick
 }
 
-// resign ends the lease, so that another host need not wait for its end.
-func (c *Coordination) resign(wait func()) {
+// Resign makes this host give its lease up, so that another one need not wait for its end. While the store can't be
+// reached nobody could take over, so until it can, or Run ends, the host goes on renewing what it granted.
+func (c *Coordination) Resign() {
+	c.isResigning.Store(true)
+	select {
+	case c.changes <- struct{}{}:
+	default: // a change is waiting already
+	}
+}
+
+// stop waits for the calls under way and gives the lease up if that was not done before.
+func (c *Coordination) stop(wait func()) {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/io/coordination/reign.go
+++ b/io/coordination/reign.go
@@ -21,6 +21,8 @@
 	keptAt        time.Time
 	isKeeping     bool
 	isCampaigning bool
+	// triedAt is when this host last tried to give the lease up.
+	triedAt time.Time
 }
 
 // rule keeps the lease, or tries to get it where nobody has it.
@@ -30,6 +32,10 @@
 	case c.reign.isCoordinator && seen > c.reign.revision:
 		c.log.Warn("another host is the coordinator", "Revision", seen)
 		c.reign = reign{revision: c.reign.revision}
+	case c.isResigning.Load():
+		if c.reign.isCoordinator && now.Sub(c.reign.triedAt) >= resignPause {
+			c.giveUp(now)
+		}
 	case c.reign.isCoordinator:
 		if !c.reign.isKeeping && now.Sub(c.reign.keptAt) >= c.lease/keeps {
 			c.keep(now)
@@ -65,6 +71,26 @@
 	})
 }
 
+// giveUp ends the lease.
+func (c *Coordination) giveUp(now time.Time) {
+	c.reign.triedAt = now
+	lease := c.reign.lease
+	c.run(func(ctx context.Context) func() {
+		ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+		defer cancel()
+		err := c.store.End(ctx, lease)
+		return func() {
+			if err != nil && kindOf(err) != kind.NotFound {
+				c.log.Warn("lease not given up yet", "Error", err)
+				return
+			}
+			c.log.Info("lease given up")
+			c.reign = reign{revision: c.reign.revision}
+			clear(c.services)
+		}
+	})
+}
+
 // turn returns how long this host lets others try first, so that not all try at the same time.
 func (c *Coordination) turn() time.Duration {
 	for i, h := range c.directory.Read().Order(registry.Coordinator) {
--- a/io/ingress/front.go
+++ b/io/ingress/front.go
@@ -23,8 +23,8 @@
 	servers *rcu.Value[[]*http.Server]
 }
 
-// Front serves a listener until the context ends, with the limits that the newest configuration sets. Once it has ended,
-// idle connections are closed; the returned function closes all.
+// Front serves a listener with the limits that the newest configuration sets. With the context it stops to follow the
+// limits; the returned function closes all connections.
 func (i *Ingress) Front(ctx context.Context, listener net.Listener, changed <-chan struct{}) (<-chan error, func()) {
 	f := &front{ingress: i, servers: rcu.New([]*http.Server(nil))}
 	f.start(listener, i.routing.Read().Limits)
@@ -39,9 +39,6 @@
 					f.start(listener, l)
 				}
 			case <-ctx.Done():
-				for _, s := range f.servers.Load() {
-					s.SetKeepAlivesEnabled(false)
-				}
 				ended <- nil
 				return
 			case err := <-accepted:
