--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -24,7 +24,6 @@
 	// foreign is how many requests it had from elsewhere at foreignAt.
 	foreign   int
 	foreignAt time.Time
-	usedAt    time.Time
 	// blocked gives, by host, until when that host does not try to reach the server again.
 	blocked map[uint32]time.Time
 }
--- a/core/reshard/reshard.go
+++ b/core/reshard/reshard.go
@@ -46,7 +46,6 @@
 	keys      keymap.Map
 	load      keyrates.Rates
 	work      time.Duration
-	now       time.Time
 	moves     []holding.Holding
 	// settling lists the ranges that have moved just now and stay for a while.
 	settling []keyrange.Range
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -43,7 +43,6 @@
 	changes chan struct{}
 	// isResigning says that this host stops soon.
 	isResigning atomic.Bool
-	resigns     chan struct{}
 
 	reign     reign
 	services  map[string]*divided
--- a/io/datagram/datagram_test.go
+++ b/io/datagram/datagram_test.go
@@ -92,7 +92,9 @@
 	if _, err := a.socket.WriteToUDPAddrPort([]byte("no notice"), to); err != nil {
 		t.Fatal(err)
 	}
-	<-bad
+	if err := <-bad; err == nil {
+		t.Error("what is no notice was told without an error")
+	}
 	if err := a.Send(to, notice.Queued{Ticket: 3}); err != nil {
 		t.Fatal(err)
 	}
--- a/io/dispatch/dispatch_test.go
+++ b/io/dispatch/dispatch_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -49,7 +48,7 @@
 		h.isOpen.Store(true)
 		socket, clean, err := datagram.New(h.address.String(), time.Now)
 		Expect(err).NotTo(HaveOccurred())
-		h.dispatch = dispatch.New(h.name, uint32(i+1), h.isOpen.Load, h.desk, socket, hosts, time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		h.dispatch = dispatch.New(h.name, uint32(i+1), h.isOpen.Load, h.desk, socket, hosts, time.Now, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() {
@@ -160,7 +159,7 @@
 		socket, clean, err := datagram.New(all[0].address.String(), time.Now)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(clean)
-		back := dispatch.New(all[0].name, 9, func() bool { return true }, desk.New(time.Now), socket, rcu.New(directory.Directory{}), time.Now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		back := dispatch.New(all[0].name, 9, func() bool { return true }, desk.New(time.Now), socket, rcu.New(directory.Directory{}), time.Now, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		go back.Receive(ctx)
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"testing"
 	"time"
@@ -88,7 +87,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		follow.New("p/", s, m, k, slog.New(slog.NewTextHandler(io.Discard, nil))).Run(ctx)
+		follow.New("p/", s, m, k, slog.New(slog.DiscardHandler)).Run(ctx)
 	}()
 	DeferCleanup(func() {
 		cancel()
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -105,7 +105,7 @@
 		_, err := c.Write(append(head, r.Body...))
 		sent <- err
 	} else {
-		go func() {
+		go func() { // ends with the write, which the reset of the connection ends at the latest
 			_, err := c.Write(head)
 			if err == nil {
 				_, err = c.Write(r.Body)
@@ -121,7 +121,7 @@
 		}
 	default:
 		c.reset() // ends the write; nothing else may follow on this connection
-		<-sent
+		_ = <-sent // fails because of that
 		if answer != nil {
 			answer.isLast = true
 		}
