--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -121,10 +121,13 @@
 		}
 	default:
 		c.reset() // ends the write; nothing else may follow on this connection
-		_ = <-sent // fails because of that
+		failed := <-sent
 		if answer != nil {
 			answer.isLast = true
 		}
+		if err != nil {
+			err = errors.Join(err, failed)
+		}
 	}
 	return answer, err
 }
