One wait, one socket option, and no dead methods

Cause: reading the change again: four copies of a wait that ends with its context stood beside the one that io/entry had, two copies of the socket option for silent connections, two methods that nothing calls and a setting to its default. Change: task.Sleep and tcp.UserTimeout serve all of them; the rest is gone. No change of behaviour. Ruled out: joining the constants and the JSON envelopes that look alike; they say different things.

--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -4,7 +4,6 @@
 	"maps"
 	"time"
 
-	"redwingsill/core/holding"
 	"redwingsill/core/keyrange"
 	"redwingsill/core/order"
 )
@@ -69,6 +68,3 @@
 	o.saved = nil
 	return o
 }
-
-// Holdings returns the durable holdings.
-func (o Ownership) Holdings() []holding.Holding { return o.keys.Holdings() }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -202,12 +202,3 @@
 	}
 	return p.common()
 }
-
-// InstanceOf returns the instance of a life.
-func (p Pool) InstanceOf(life string) (instance.Instance, bool) {
-	n, ok := p.find(life)
-	if !ok {
-		return instance.Instance{}, false
-	}
-	return p.servers[n].instance, true
-}
--- a/io/coordination/orders.go
+++ b/io/coordination/orders.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"time"
 
 	"redwingsill/core/kind"
 	"redwingsill/core/order"
 	"redwingsill/core/ownership"
 	"redwingsill/core/transaction"
 	"redwingsill/io/registry"
+	"redwingsill/io/task"
 )
 
 // load reads the durable owners of a service.
@@ -129,7 +129,7 @@
 		for result == order.Lost && ctx.Err() == nil {
 			result, written = c.trySave(ctx, name, mark, change)
 			if result == order.Lost {
-				pause(ctx, savePause)
+				task.Sleep(ctx, savePause)
 			}
 		}
 		return func() {
@@ -160,12 +160,3 @@
 	}
 	return order.Stale, 0
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/entry/requests.go
+++ b/io/entry/requests.go
@@ -14,6 +14,7 @@
 	"redwingsill/core/outcome"
 	"redwingsill/core/request"
 	"redwingsill/core/route"
+	"redwingsill/io/task"
 )
 
 // Now returns the time by the host's clock.
@@ -32,7 +33,7 @@
 	for tries := 1; ; tries++ {
 		told = e.send(ctx, message.Ask{Request: r})
 		wait, again := e.again(told.Outcome, tries, r.Deadline)
-		if !again || !sleep(ctx, wait) {
+		if !again || !task.Sleep(ctx, wait) {
 			break
 		}
 	}
@@ -126,15 +127,3 @@
 	bits, _ := e.loads.LoadOrStore(told.Load.Server, &atomic.Uint64{})
 	bits.(*atomic.Uint64).Store(math.Float64bits(told.Load.Score()))
 }
-
-// sleep waits, and reports whether the context is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -10,6 +10,7 @@
 
 	"redwingsill/core/kind"
 	"redwingsill/core/record"
+	"redwingsill/io/task"
 )
 
 // Follow follows one prefix.
@@ -41,7 +42,7 @@
 		case Polling:
 			_, err = f.list(ctx, !isFirst)
 			if err == nil {
-				sleep(ctx, m.Every)
+				task.Sleep(ctx, m.Every)
 			}
 		}
 		if ctx.Err() != nil {
@@ -125,14 +126,5 @@
 	}
 	f.failures++
 	pause := min(firstPause<<min(f.failures-1, 6), mostPause)
-	sleep(ctx, pause/2+rand.N(pause))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	task.Sleep(ctx, pause/2+rand.N(pause))
 }
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -61,11 +61,9 @@
 
 // Server returns an HTTP server for the limits.
 func (i *Ingress) Server(l limits.Limits) *http.Server {
-	server := &http.Server{Handler: i, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
+	return &http.Server{Handler: i, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
 		MaxHeaderBytes: l.HeaderBytes, DisableGeneralOptionsHandler: true,
 		ErrorLog: slog.NewLogLogger(i.log.Handler(), slog.LevelDebug)}
-	server.SetKeepAlivesEnabled(true)
-	return server
 }
 
 // ServeHTTP serves one request.
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -61,15 +61,3 @@
 	})
 	return err == nil && isQuiet
 }
-
-// withTimeouts sets that bytes without acknowledgement break the connection.
-func withTimeouts(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
--- a/io/origin/pool.go
+++ b/io/origin/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwingsill/core/kind"
+	"redwingsill/io/tcp"
 )
 
 // pool keeps the connections by address, the one used last on top.
@@ -22,7 +23,7 @@
 }
 
 func newPool(now func() time.Time) *pool {
-	return &pool{now: now, dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: withTimeouts},
+	return &pool{now: now, dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: tcp.UserTimeout(userTimeout)},
 		idle: map[string][]*conn{}, open: map[string]int{}}
 }
 
