Duties go to hosts with more processor, and steps that cost the square of the servers are gone

Cause: on the grown deployments (72 hosts, 372 servers) the coordinator and the desks stood on hosts of 0.16 core, picked by hash alone, and did work that grows with the square of the ranges: a map built holding by holding, a whole look after each of some 430 renewals a second, maps cloned for each grant, lists of servers sorted at each look. Ruled out: the whole queue at the desk (the profile of 24 hosts and 220 servers shows 3% there).

--- a/core/keymap/keymap.go
+++ b/core/keymap/keymap.go
@@ -18,6 +18,10 @@
 // New returns the map of the holdings. Of holdings that overlap, the one with the higher token counts.
 func New(holdings ...holding.Holding) Map {
 	sorted := slices.Clone(holdings)
+	slices.SortFunc(sorted, byRange)
+	if !overlaps(sorted) {
+		return Map{holdings: merged(sorted)}
+	}
 	slices.SortStableFunc(sorted, func(a, b holding.Holding) int { return cmp.Compare(a.Fence, b.Fence) })
 	m := Map{}
 	for _, h := range sorted {
@@ -35,10 +39,22 @@
 		}
 	}
 	next = append(next, h)
-	slices.SortFunc(next, func(a, b holding.Holding) int { return cmp.Compare(a.Range.From, b.Range.From) })
+	slices.SortFunc(next, byRange)
 	return Map{holdings: merged(next)}
 }
 
+func byRange(a, b holding.Holding) int { return cmp.Compare(a.Range.From, b.Range.From) }
+
+// overlaps reports whether any two holdings in the order of their ranges have a key in common.
+func overlaps(sorted []holding.Holding) bool {
+	for i := 1; i < len(sorted); i++ {
+		if sorted[i].Range.From <= sorted[i-1].Range.To {
+			return true
+		}
+	}
+	return false
+}
+
 // WithJoined is With, but takes the ranges next to h that have the same owner in under h's token, unless they overlap one
 // of those to leave. It returns the map in which one grant covers all of them.
 func (m Map) WithJoined(h holding.Holding, leave []keyrange.Range) Map {
@@ -56,7 +72,7 @@
 
 // merged joins neighbours of the same owner and token.
 func merged(sorted []holding.Holding) []holding.Holding {
-	joined := sorted[:0:0]
+	joined := make([]holding.Holding, 0, len(sorted))
 	for _, h := range sorted {
 		if n := len(joined) - 1; n >= 0 && joined[n].Owner == h.Owner && joined[n].Fence == h.Fence &&
 			joined[n].Range.To+1 == h.Range.From {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -85,6 +85,17 @@
 	return p
 }
 
+// IsFor reports whether the pool is for just these backend servers.
+func (p Pool) IsFor(isDivided bool, instances []instance.Instance) bool {
+	if p.isDivided != isDivided || len(p.servers) != len(instances) {
+		return false
+	}
+	return !slices.ContainsFunc(instances, func(i instance.Instance) bool {
+		n, ok := p.find(i.Life())
+		return !ok || p.servers[n].instance != i
+	})
+}
+
 // asks returns all requests that wait.
 func (p Pool) asks() []ask.Ask {
 	var all []ask.Ask
--- a/core/reshard/reshard.go
+++ b/core/reshard/reshard.go
@@ -42,11 +42,13 @@
 // Plan is the moves that a map needs, worked out for the servers, the load and the queues of one moment.
 type Plan struct {
 	pressures map[string]pressure.Pressure
-	owners    []owner
-	keys      keymap.Map
-	load      keyrates.Rates
-	work      time.Duration
-	moves     []holding.Holding
+	// owners is in the order of the lives, and index finds them.
+	owners []owner
+	index  map[string]int
+	keys   keymap.Map
+	load   keyrates.Rates
+	work   time.Duration
+	moves  []holding.Holding
 	// settling lists the ranges that have moved just now and stay for a while.
 	settling []keyrange.Range
 }
@@ -70,9 +72,15 @@
 		p.owners = append(p.owners, owner{life: life, capacity: capacity})
 	}
 	slices.SortFunc(p.owners, func(a, b owner) int { return cmp.Compare(a.life, b.life) })
-	for i := range p.owners {
-		p.owners[i].load = p.loadOf(p.owners[i].life)
-		p.owners[i].width = keys.Width(p.owners[i].life)
+	p.index = make(map[string]int, len(p.owners))
+	for i, o := range p.owners {
+		p.index[o.life] = i
+	}
+	for _, h := range keys.Holdings() {
+		if i := p.find(h.Owner); i >= 0 {
+			p.owners[i].load += p.workIn(h.Range)
+			p.owners[i].width += h.Range.Width()
+		}
 	}
 	return p
 }
@@ -176,16 +184,6 @@
 
 func (p *Plan) workIn(r keyrange.Range) float64 { return p.load.Sum(r) * p.work.Seconds() }
 
-func (p *Plan) loadOf(life string) float64 {
-	total := 0.0
-	for _, h := range p.keys.Holdings() {
-		if h.Owner == life {
-			total += p.workIn(h.Range)
-		}
-	}
-	return total
-}
-
 func (p *Plan) mean() float64 {
 	load, capacity := 0.0, 0.0
 	for _, o := range p.owners {
@@ -196,7 +194,10 @@
 }
 
 func (p *Plan) find(life string) int {
-	return slices.IndexFunc(p.owners, func(o owner) bool { return o.life == life })
+	if i, ok := p.index[life]; ok {
+		return i
+	}
+	return -1
 }
 
 // hottest returns the owner that is used most, or -1.
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"redwingsill/core/directory"
+	"redwingsill/core/instance"
 	"redwingsill/core/keyrange"
 	"redwingsill/core/ownership"
 	"redwingsill/core/rcu"
@@ -78,9 +79,23 @@
 			apply()
 		case <-c.changes:
 		case <-timer.C:
-			timer.Reset(c.pace())
 		}
+		c.drain()
 		c.step()
+		timer.Reset(c.pace())
+		task.Sleep(ctx, stepPause)
+	}
+}
+
+// drain applies the results of all calls that have ended, so that one step follows many of them.
+func (c *Coordination) drain() {
+	for {
+		select {
+		case apply := <-c.results:
+			apply()
+		default:
+			return
+		}
 	}
 }
 
@@ -134,6 +149,10 @@
 	c.rule(now)
 	c.lookForServices(now)
 	for name, d := range c.services {
+		if len(d.ends) > 0 {
+			d.state = d.state.WithGranted(d.ends, now)
+			d.ends = nil
+		}
 		c.stepService(name, d, now)
 	}
 	c.publish()
@@ -166,24 +185,32 @@
 	}
 	p := c.desk.Pool(name)
 	members := c.roster.Read().OfService(name)
-	speeds := p.Speeds()
-	capacities := make(map[string]float64, len(members))
-	for _, m := range members {
-		factor, ok := speeds[m.Life()]
-		if !ok {
-			factor = 1
-		}
-		capacities[m.Life()] = float64(m.Slots) / min(mostFactor, max(leastFactor, factor))
-	}
 	if !slices.Equal(members, d.members) {
 		d.members = members
 		d.state = d.state.WithMembers(members, c.addresses(), now)
 	}
-	state, orders := d.state.WithCapacities(capacities).WithTick(p, now)
+	if now.Sub(d.ratedAt) >= c.terms.Look {
+		d.ratedAt = now
+		d.state = d.state.WithCapacities(capacities(members, p.Speeds()))
+	}
+	state, orders := d.state.WithTick(p, now)
 	d.state = state
 	c.carryOut(name, d, orders)
 }
 
+// capacities returns how many average requests each backend server runs at the same time.
+func capacities(members []instance.Instance, speeds map[string]float64) map[string]float64 {
+	all := make(map[string]float64, len(members))
+	for _, m := range members {
+		factor, ok := speeds[m.Life()]
+		if !ok {
+			factor = 1
+		}
+		all[m.Life()] = float64(m.Slots) / min(mostFactor, max(leastFactor, factor))
+	}
+	return all
+}
+
 // addresses gives the life that has each address.
 func (c *Coordination) addresses() map[string]string {
 	all := map[string]string{}
--- a/io/coordination/divided.go
+++ b/io/coordination/divided.go
@@ -1,7 +1,10 @@
 package coordination
 
 import (
+	"time"
+
 	"redwingsill/core/instance"
+	"redwingsill/core/order"
 	"redwingsill/core/ownership"
 )
 
@@ -11,4 +14,8 @@
 	isLoaded bool
 	revision int64
 	members  []instance.Instance
+	// ends is the grants that have ended since the last step.
+	ends []order.End
+	// ratedAt is when the servers' capacities were last worked out.
+	ratedAt time.Time
 }
--- a/io/coordination/orders.go
+++ b/io/coordination/orders.go
@@ -95,7 +95,7 @@
 					c.log.Info("grant", "Service", name, "Server", g.To.ID, "Range", g.Range.String(), "Fence", g.Fence, "Result", ends[i].Result.String())
 				}
 			}
-			d.state = d.state.WithGranted(ends, c.now())
+			d.ends = append(d.ends, ends...)
 		}
 	})
 }
--- a/io/coordination/reign.go
+++ b/io/coordination/reign.go
@@ -93,12 +93,11 @@
 
 // turn returns how long this host lets others try first, so that not all try at the same time.
 func (c *Coordination) turn() time.Duration {
-	for i, h := range c.directory.Read().Order(registry.Coordinator) {
-		if h.Name == c.name {
-			return min(time.Duration(i)*turn, mostTurn)
-		}
+	place := c.directory.Read().Position(registry.Coordinator, c.name)
+	if place < closeTurns {
+		return time.Duration(place) * turn
 	}
-	return mostTurn
+	return closeTurns*turn + time.Duration(place-closeTurns)*farTurn
 }
 
 func (c *Coordination) campaign(now time.Time) {
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -64,6 +64,9 @@
 
 // SetService tells whether a service is divided by key, and its backend servers.
 func (d *Desk) SetService(service string, isDivided bool, servers []instance.Instance) {
+	if d.pool(service).Read().IsFor(isDivided, servers) {
+		return
+	}
 	d.step(d.pool(service), func(p pool.Pool) (pool.Pool, []placement.Placement) {
 		return p.WithDivided(isDivided).WithServers(servers, d.now())
 	})
--- a/io/dispatch/dispatch_test.go
+++ b/io/dispatch/dispatch_test.go
@@ -64,12 +64,12 @@
 			}
 		}
 		DeferCleanup(h.stop)
-		hosts.Update(func(d directory.Directory) directory.Directory { return d.With(h.name, h.address, "ilo") })
+		hosts.Update(func(d directory.Directory) directory.Directory { return d.With(h.name, h.address, "ilo", 1) })
 		h.desk.SetService("s", false, []instance.Instance{{ID: "x", Service: "s", DataCentre: "ilo", Slots: 2}})
 		all = append(all, h)
 	}
 	// The first in the order of the service comes first.
-	first := hosts.Read().Order("s")[0].Name
+	first := hosts.Read().First("s", 1, func(string) bool { return false })[0].Name
 	for i, h := range all {
 		if h.name == first {
 			all[0], all[i] = all[i], all[0]
--- a/io/dispatch/hosts.go
+++ b/io/dispatch/hosts.go
@@ -20,27 +20,19 @@
 func (d *Dispatch) candidates(service string, hasKey bool) []candidate {
 	hosts := d.directory.Read()
 	silent := *d.silent.Read()
-	found := make([]candidate, 0, mostCandidates)
-	add := func(name string, address netip.AddrPort) {
-		if _, isSilent := silent[address]; isSilent && name != d.name || len(found) == mostCandidates {
-			return
-		}
-		if len(found) == 0 || found[0].Name != name {
-			found = append(found, candidate{Name: name, Address: address})
-		}
-	}
-	if hasKey {
-		if h, ok := hosts.Find(hosts.Coordinator); ok {
-			add(h.Name, h.Address)
+	found := make([]candidate, 0, mostCandidates+1)
+	if h, ok := hosts.Find(hosts.Coordinator); ok && hasKey {
+		if _, isSilent := silent[h.Address]; !isSilent || h.Name == d.name {
+			found = append(found, candidate{Name: h.Name, Address: h.Address})
 		}
 	}
-	for _, h := range hosts.Order(service) {
-		if len(found) == mostCandidates {
-			break
-		}
-		if h.Name != hosts.Coordinator || hosts.Len() == 1 { // the coordinator has enough to do
-			add(h.Name, h.Address)
+	for _, h := range hosts.First(service, mostCandidates-len(found), func(name string) bool {
+		if name == hosts.Coordinator {
+			return hosts.Len() > 1 // the coordinator has enough to do
 		}
+		return name != d.name && len(silent) > 0 && d.IsSilent(name)
+	}) {
+		found = append(found, candidate{Name: h.Name, Address: h.Address})
 	}
 	return found
 }
@@ -109,15 +101,11 @@
 	if hosts.Coordinator == d.name {
 		return 1
 	}
-	for _, h := range hosts.Order(service) {
-		if h.Name == d.name {
-			return 1
-		}
-		if h.Name != hosts.Coordinator {
-			return 1 / float64(hosts.Len())
-		}
+	first := hosts.First(service, 1, func(name string) bool { return name == hosts.Coordinator })
+	if len(first) == 0 || first[0].Name == d.name {
+		return 1
 	}
-	return 1
+	return 1 / float64(hosts.Len())
 }
 
 // tellHeld tells each host that gave out slots lately which of them are in use, also when none is: a report may be lost.
--- a/io/registry/hostdocument.go
+++ b/io/registry/hostdocument.go
@@ -8,4 +8,6 @@
 type hostDocument struct {
 	Address    netip.AddrPort
 	DataCentre string
+	// Capacity is the host's share of a processor.
+	Capacity float64
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -49,9 +49,9 @@
 // OwnersKey returns the key of a service's owners.
 func OwnersKey(service string) string { return OwnersPrefix + service }
 
-// EncodeHost returns the value of a host's key.
-func EncodeHost(address netip.AddrPort, dataCentre string) ([]byte, error) {
-	return json.Marshal(hostDocument{Address: address, DataCentre: dataCentre})
+// EncodeHost returns the value of a host's key. The capacity is the host's share of a processor.
+func EncodeHost(address netip.AddrPort, dataCentre string, capacity float64) ([]byte, error) {
+	return json.Marshal(hostDocument{Address: address, DataCentre: dataCentre, Capacity: capacity})
 }
 
 // EncodeCoordinator returns the value of the coordinator's key. The mark tells one campaign from another.
@@ -145,7 +145,9 @@
 		r.log.Warn("host's entry can't be read", "Name", name, "Error", err)
 		return
 	}
-	r.directory.Update(func(old directory.Directory) directory.Directory { return old.With(name, d.Address, d.DataCentre) })
+	r.directory.Update(func(old directory.Directory) directory.Directory {
+		return old.With(name, d.Address, d.DataCentre, d.Capacity)
+	})
 }
 
 func (r *Registry) setOwners(service string, c record.Record) {
