Few hosts read the store for the others of their data centre

Cause: each host watched the store by itself. Change: io/relay asks the first hosts of the data centre's order for the store's news (io/news, long questions over HTTP) and reads the store itself only where it is asked or none of them answers; core/feed is the copy that others catch up from. The first list of a host may be stale. Polling is gone from io/follow. Ruled out: longer watches alone (the wakes by entries remain), one reader for all data centres (a cut data centre would read by itself again), pushing by datagrams (a configuration has hundreds of kilobytes).

--- /dev/null
+++ b/core/feed/feed_test.go
@@ -0,0 +1,86 @@
+package feed_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"redwingsill/core/feed"
+	"redwingsill/core/record"
+)
+
+func put(key string, revision int64) record.Record {
+	return record.Record{Key: key, Value: []byte(fmt.Sprint(revision)), Revision: revision}
+}
+
+func removed(key string, revision int64) record.Record {
+	return record.Record{Key: key, Revision: revision, IsRemoved: true}
+}
+
+func TestAfter(t *testing.T) {
+	f := feed.New([]record.Record{put("a", 3), put("b", 5)}, 10).
+		With([]record.Record{put("c", 11), removed("a", 12), put("c", 14)}, 20).
+		With([]record.Record{put("c", 13)}, 15)
+	for _, c := range []struct {
+		after int64
+		want  string
+		ok    bool
+	}{{9, "[]", false}, {10, "[a- c]", true}, {12, "[c]", true}, {14, "[]", true}, {20, "[]", true}} {
+		changes, ok := f.After(c.after)
+		names := []string{}
+		for _, r := range changes {
+			name := r.Key
+			if r.IsRemoved {
+				name += "-"
+			}
+			names = append(names, name)
+		}
+		if got := fmt.Sprint(names); got != c.want || ok != c.ok {
+			t.Errorf("after %d: %s %v, want %s %v", c.after, got, ok, c.want, c.ok)
+		}
+	}
+	if f.At() != 20 || len(f.All()) != 2 {
+		t.Errorf("at %d with %d entries, want 20 with 2", f.At(), len(f.All()))
+	}
+}
+
+// A follower that is told what changed after any revision that the feed reaches back to has the same entries as the feed.
+func TestFollowersCatchUp(t *testing.T) {
+	for seed := range uint64(8) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		f := feed.New(nil, 0)
+		copies := []map[string]int64{{}, {}, {}}
+		ats := make([]int64, len(copies))
+		for revision := int64(1); revision < 1400; revision++ {
+			change := put(fmt.Sprint("k", random.IntN(900)), revision)
+			if random.IntN(2) == 0 {
+				change = removed(change.Key, revision)
+			}
+			f = f.With([]record.Record{change}, revision)
+			n := random.IntN(400)
+			if n >= len(copies) {
+				continue
+			}
+			changes, ok := f.After(ats[n])
+			if !ok {
+				copies[n], changes = map[string]int64{}, f.All()
+			}
+			for _, c := range changes {
+				copies[n][c.Key] = c.Revision
+				if c.IsRemoved {
+					delete(copies[n], c.Key)
+				}
+			}
+			ats[n] = f.At()
+			all := f.All()
+			if len(all) != len(copies[n]) {
+				t.Fatalf("seed %d at %d: the follower has %d entries, the feed %d", seed, revision, len(copies[n]), len(all))
+			}
+			for _, r := range all {
+				if copies[n][r.Key] != r.Revision {
+					t.Fatalf("seed %d at %d: the follower has %s of %d, the feed of %d", seed, revision, r.Key, copies[n][r.Key], r.Revision)
+				}
+			}
+		}
+	}
+}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -17,48 +17,39 @@
 type Follow struct {
 	prefix string
 	store  Store
-	manner Manner
+	wait   time.Duration
 	sink   Sink
 	log    *slog.Logger
 	// entries gives what the sink was told of each entry.
-	entries  map[string]seen
-	isBroken bool
-	failures int
+	entries   map[string]seen
+	hasListed bool
+	isBroken  bool
+	failures  int
 }
 
-// New returns a follower that tells a sink.
-func New(prefix string, s Store, m Manner, sink Sink, log *slog.Logger) *Follow {
-	return &Follow{prefix: prefix, store: s, manner: m, sink: sink, log: log.With("Prefix", prefix), entries: map[string]seen{}}
+// New returns a follower that tells a sink. One watch waits up to a time: it may miss changes unnoticed as the store
+// forgets its history, and the next one shows it.
+func New(prefix string, s Store, wait time.Duration, sink Sink, log *slog.Logger) *Follow {
+	return &Follow{prefix: prefix, store: s, wait: wait, sink: sink, log: log.With("Prefix", prefix), entries: map[string]seen{}}
 }
 
 // Run follows until the context ends.
 func (f *Follow) Run(ctx context.Context) {
-	isFirst := true
 	for ctx.Err() == nil {
-		var err error
-		switch m := f.manner.(type) {
-		case Watching:
-			err = f.watchAll(ctx, m)
-		case Polling:
-			_, err = f.list(ctx, !isFirst)
-			if err == nil {
-				task.Sleep(ctx, m.Every)
-			}
-		}
+		err := f.watchAll(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		isFirst = isFirst && err != nil
-		if err != nil {
-			f.wait(ctx, err)
-		}
+		f.pause(ctx, err)
 	}
 }
 
-func (f *Follow) watchAll(ctx context.Context, m Watching) error {
-	at, err := f.list(ctx, false)
+// watchAll follows until the history is gone. The first list may be some seconds old, which costs less; the watch tells
+// what has changed since.
+func (f *Follow) watchAll(ctx context.Context) error {
+	at, err := f.list(ctx, !f.hasListed)
 	for err == nil {
-		at, err = f.watch(ctx, at, m.Wait)
+		at, err = f.watch(ctx, at)
 	}
 	return err
 }
@@ -80,17 +71,18 @@
 			changes = append(changes, record.Record{Key: key, Revision: at, IsRemoved: true})
 		}
 	}
+	f.hasListed = true
 	f.apply(changes, at, true)
 	return at, nil
 }
 
-func (f *Follow) watch(ctx context.Context, after int64, wait time.Duration) (int64, error) {
-	changes, at, err := f.store.Watch(ctx, f.prefix, after, wait)
+func (f *Follow) watch(ctx context.Context, after int64) (int64, error) {
+	changes, at, err := f.store.Watch(ctx, f.prefix, after, f.wait)
 	if err != nil {
 		var failed interface{ IsKind(kind.Kind) bool }
 		if errors.As(err, &failed) && failed.IsKind(kind.Unavailable) && ctx.Err() == nil {
 			// The same place is tried again: the history may still be there, and a list costs more.
-			f.wait(ctx, err)
+			f.pause(ctx, err)
 			return after, nil
 		}
 		return 0, err
@@ -117,14 +109,14 @@
 	f.sink.Apply(newer, at, isWhole)
 }
 
-// wait notes a failure and waits longer the more there were, so that many hosts do not come back at the same time.
-func (f *Follow) wait(ctx context.Context, err error) {
+// pause notes a failure and waits longer the more there were, so that many hosts do not come back at the same time.
+func (f *Follow) pause(ctx context.Context, err error) {
 	if !f.isBroken {
 		f.isBroken = true
 		f.log.Warn("store lost", "Error", err)
 		f.sink.Lost()
 	}
 	f.failures++
-	pause := min(firstPause<<min(f.failures-1, 6), mostPause)
-	task.Sleep(ctx, pause/2+rand.N(pause))
+	length := min(firstPause<<min(f.failures-1, 6), mostPause)
+	task.Sleep(ctx, length/2+rand.N(length))
 }
--- a/io/follow/manner.go
+++ /dev/null
@@ -1,8 +0,0 @@
-package follow
-
-// Manner is how a prefix is followed. The variants are [Watching] and [Polling].
-//
-//sumtype:decl
-type Manner interface {
-	manner()
-}
--- /dev/null
+++ b/io/news/entry.go
@@ -0,0 +1,19 @@
+package news
+
+import "redwingsill/core/record"
+
+// entry is one entry of the store or its removal.
+type entry struct {
+	Key       string
+	Value     []byte `json:",omitempty"`
+	Revision  int64
+	IsRemoved bool `json:",omitempty"`
+}
+
+func entryOf(r record.Record) entry {
+	return entry{Key: r.Key, Value: r.Value, Revision: r.Revision, IsRemoved: r.IsRemoved}
+}
+
+func (e entry) record() record.Record {
+	return record.Record{Key: e.Key, Value: e.Value, Revision: e.Revision, IsRemoved: e.IsRemoved}
+}
--- /dev/null
+++ b/io/news/handler.go
@@ -0,0 +1,69 @@
+package news
+
+import (
+	"compress/gzip"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"redwingsill/core/kind"
+	"redwingsill/core/record"
+)
+
+// Handler serves a source to other entry hosts.
+func Handler(s Source, log *slog.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		records, at, err := answer(s, r)
+		if err != nil {
+			w.WriteHeader(statusOf(err))
+			return
+		}
+		d := document{At: at, Records: make([]entry, len(records))}
+		size := 0
+		for i, each := range records {
+			d.Records[i] = entryOf(each)
+			size += len(each.Value)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if size < compressFrom {
+			err = json.NewEncoder(w).Encode(d)
+		} else {
+			w.Header().Set("Content-Encoding", "gzip")
+			packed, _ := gzip.NewWriterLevel(w, gzip.BestSpeed) // the level is a valid one
+			err = errors.Join(json.NewEncoder(packed).Encode(d), packed.Close())
+		}
+		if err != nil {
+			log.Debug("news not delivered", "To", r.RemoteAddr, "Error", err) // the other host asks again, perhaps elsewhere
+		}
+	})
+}
+
+func answer(s Source, r *http.Request) ([]record.Record, int64, error) {
+	q := r.URL.Query()
+	if q.Get(afterField) == "" {
+		return s.Entries(r.Context(), q.Get(prefixField))
+	}
+	after, err := strconv.ParseInt(q.Get(afterField), 10, 64)
+	if err != nil {
+		return nil, 0, newError("answer", kind.Invalid, err)
+	}
+	wait, err := time.ParseDuration(q.Get(waitField))
+	if err != nil {
+		return nil, 0, newError("answer", kind.Invalid, err)
+	}
+	return s.Changes(r.Context(), q.Get(prefixField), after, min(wait, mostWait))
+}
+
+func statusOf(err error) int {
+	var failed interface{ IsKind(kind.Kind) bool }
+	switch {
+	case errors.As(err, &failed) && failed.IsKind(kind.NotFound):
+		return http.StatusGone
+	case errors.As(err, &failed) && failed.IsKind(kind.Invalid):
+		return http.StatusBadRequest
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/io/relay/error.go
@@ -0,0 +1,13 @@
+package relay
+
+import (
+	"redwingsill/core/failure"
+	"redwingsill/core/kind"
+)
+
+// Error is a failure of this package.
+type Error struct{ failure.Failure }
+
+func newError(op string, k kind.Kind, cause error) *Error {
+	return &Error{Failure: failure.New(op, k, cause)}
+}
--- /dev/null
+++ b/io/relay/peers.go
@@ -0,0 +1,15 @@
+package relay
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"redwingsill/core/record"
+)
+
+// Peers asks other entry hosts what the store holds. It is a [redwingsill/io/news.News].
+type Peers interface {
+	Entries(ctx context.Context, at netip.AddrPort, prefix string) ([]record.Record, int64, error)
+	Changes(ctx context.Context, at netip.AddrPort, prefix string, after int64, wait time.Duration) ([]record.Record, int64, error)
+}
--- /dev/null
+++ b/io/relay/source.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"redwingsill/core/kind"
+	"redwingsill/core/record"
+)
+
+// Entries implements news.Source.
+func (r *Relay) Entries(ctx context.Context, prefix string) ([]record.Record, int64, error) {
+	r.asked()
+	c, err := r.fresh(ctx, prefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	return c.feed.All(), c.feed.At(), nil
+}
+
+// Changes implements news.Source.
+func (r *Relay) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]record.Record, int64, error) {
+	r.asked()
+	c, err := r.fresh(ctx, prefix)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for isOver := false; err == nil; c, err = r.fresh(ctx, prefix) {
+		changes, ok := c.feed.After(after)
+		switch {
+		case !ok:
+			return nil, 0, newError("tell news", kind.NotFound, errors.New("the changes asked for are forgotten"))
+		case len(changes) > 0 || isOver:
+			return changes, c.feed.At(), nil
+		}
+		select {
+		case <-c.changed:
+		case <-timer.C:
+			isOver = true
+		case <-ctx.Done():
+			return nil, 0, newError("tell news", kind.Unavailable, ctx.Err())
+		}
+	}
+	return nil, 0, err
+}
+
+// asked notes that another host relies on this one.
+func (r *Relay) asked() {
+	wasAsked := r.isAsked()
+	r.askedAt.Store(int64(r.now().Sub(r.base)))
+	if wasAsked {
+		return
+	}
+	r.log.Info("reads the store for others")
+	before := r.turn.Load()
+	r.turn.Store(newTurn())
+	before.end()
+}
+
+// fresh returns the copy of a prefix once the store itself has answered this host lately.
+func (r *Relay) fresh(ctx context.Context, prefix string) (copied, error) {
+	timer := time.NewTimer(turnWait)
+	defer timer.Stop()
+	shared, ok := r.copies[prefix]
+	if !ok {
+		return copied{}, newError("tell news", kind.Invalid, errors.New("nothing is known under "+prefix))
+	}
+	for {
+		c := shared.Load()
+		if c.isFresh(r.now()) {
+			return c, nil
+		}
+		select {
+		case <-c.changed:
+		case <-timer.C:
+			return copied{}, newError("tell news", kind.Unavailable, errors.New("the store has not answered this host lately"))
+		case <-ctx.Done():
+			return copied{}, newError("tell news", kind.Unavailable, ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/io/relay/store_test.go
@@ -0,0 +1,123 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"redwingsill/core/failure"
+	"redwingsill/core/kind"
+	"redwingsill/core/record"
+)
+
+// store is a key-value store that counts each host's calls.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]record.Record
+	changed  chan struct{}
+	counts   map[string]int
+	down     map[string]bool
+}
+
+func newStore() *store {
+	return &store{items: map[string]record.Record{}, changed: make(chan struct{}), counts: map[string]int{}, down: map[string]bool{}}
+}
+
+func (s *store) put(key string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = record.Record{Key: key, Revision: s.revision}
+	s.wake()
+	return s.revision
+}
+
+func (s *store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts = map[string]int{}
+}
+
+func (s *store) calls(host string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[host]
+}
+
+// setDown makes the store turn a host away.
+func (s *store) setDown(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down[host] = true
+	s.wake()
+}
+
+func (s *store) setUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = map[string]bool{}
+}
+
+// of returns the store as a host sees it.
+func (s *store) of(host string) *view { return &view{store: s, host: host} }
+
+// view implements follow.Store.
+type view struct {
+	store *store
+	host  string
+}
+
+func (v *view) read(after int64) ([]record.Record, int64, chan struct{}, error) {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	if v.store.down[v.host] {
+		return nil, 0, nil, failure.New("read", kind.Unavailable, errors.New("the store turns this host away"))
+	}
+	var found []record.Record
+	for _, r := range v.store.items {
+		if r.Revision > after {
+			found = append(found, r)
+		}
+	}
+	return found, v.store.revision, v.store.changed, nil
+}
+
+func (v *view) count() {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	v.store.counts[v.host]++
+}
+
+// List implements follow.Store.
+func (v *view) List(context.Context, string, bool) ([]record.Record, int64, error) {
+	v.count()
+	found, at, _, err := v.read(0)
+	return found, at, err
+}
+
+// Watch implements follow.Store.
+func (v *view) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]record.Record, int64, error) {
+	v.count()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		found, at, changed, err := v.read(after)
+		if err != nil || len(found) > 0 {
+			return found, at, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, failure.New("watch", kind.Unavailable, ctx.Err())
+		}
+	}
+}
