A host takes over its own entry as the coordinator after a restart, and a silent host is told once

Change: an entry of the coordinator that bears this host's name, when this life was not elected, is replaced under its revision. A host is noted as silent once. Ruled out: two coordinators by this: every save is under the condition of the coordinator's key, and a new one always counts on renewals of an earlier one.

--- a/io/coordination/reign.go
+++ b/io/coordination/reign.go
@@ -41,6 +41,11 @@
 			c.keep(now)
 		}
 	case c.reign.isCampaigning || !c.registry.IsWhole() || c.directory.Read().Len() == 0:
+	case seen != 0 && seen != c.reign.revision && c.directory.Read().Coordinator == c.name && c.reign.revision == 0:
+		// The entry is that of this host's life before: no one else needs to wait for the end of its lease.
+		if now.Sub(c.absentAt) >= 0 {
+			c.campaign(now, seen)
+		}
 	case seen != 0 && seen != c.reign.revision:
 		c.absentAt = time.Time{}
 		if c.isSilent(c.directory.Read().Coordinator) && c.turn() < checkers*turn && now.Sub(c.checkedAt) >= checkPause {
@@ -51,7 +56,7 @@
 			c.absentAt = now
 		}
 		if now.Sub(c.absentAt) >= c.turn() {
-			c.campaign(now)
+			c.campaign(now, 0)
 		}
 	}
 }
@@ -100,7 +105,8 @@
 	return closeTurns*turn + time.Duration(place-closeTurns)*farTurn
 }
 
-func (c *Coordination) campaign(now time.Time) {
+// campaign tries to make this host the coordinator in place of the entry of a revision, or of none.
+func (c *Coordination) campaign(now time.Time, instead int64) {
 	c.reign.isCampaigning = true
 	c.absentAt = now.Add(campaignPause)
 	mark := c.nextMark()
@@ -114,7 +120,7 @@
 		if err != nil {
 			return func() { c.lost("encode", err) }
 		}
-		revision, err := c.store.Commit(ctx, transaction.Transaction{}.WithExpected(registry.Coordinator, 0).
+		revision, err := c.store.Commit(ctx, transaction.Transaction{}.WithExpected(registry.Coordinator, instead).
 			WithPut(registry.Coordinator, value, lease))
 		if err != nil && kindOf(err) != kind.Conflict {
 			// The answer may be lost: what the key holds tells.
--- a/io/dispatch/hosts.go
+++ b/io/dispatch/hosts.go
@@ -39,12 +39,20 @@
 
 // suspect notes that a host does not answer.
 func (d *Dispatch) suspect(at netip.AddrPort, now time.Time) {
-	d.log.Info("entry host does not answer", "Address", at)
+	isNew := false
 	d.silent.Update(func(old map[netip.AddrPort]time.Time) map[netip.AddrPort]time.Time {
+		if _, known := old[at]; known {
+			isNew = false
+			return old
+		}
+		isNew = true
 		next := maps.Clone(old)
 		next[at] = now
 		return next
 	})
+	if isNew {
+		d.log.Info("entry host does not answer", "Address", at, "Patience", patience)
+	}
 }
 
 // heard notes that a host is there.
