A new coordinator learns from the other hosts that the store was not away, and moves a silent owner's keys in 7 s

A new coordinator can't know whether an earlier one still renews grants without the store, so it left the keys of a server that does not answer for 20.3 s. Change: renewals go on for 2.2 s after the lease in any case, and longer, or with holds of 10 s, only while two thirds of the hosts say that the store is away (core/contact; asked by datagram). A new coordinator to which more than half say that they have not lost the store since a time counts on what could be granted then: 7.3 s after its election instead of 20.3 s. Ruled out: asking the old coordinator (cut off, it can't be told from dead), holds kept in the store (a write for each).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -47,6 +47,9 @@
 // Len returns the number of hosts.
 func (d Directory) Len() int { return len(d.hosts) }
 
+// All returns the hosts in the order of their names. They must not be changed.
+func (d Directory) All() []host { return d.hosts }
+
 // Find returns a host by its name.
 func (d Directory) Find(name string) (host, bool) {
 	n, ok := d.index(name)
--- /dev/null
+++ b/core/notice/contactasked.go
@@ -0,0 +1,6 @@
+package notice
+
+// ContactAsked asks a host for its contact with the store.
+type ContactAsked struct{}
+
+func (ContactAsked) notice() {}
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -1,8 +1,8 @@
-// Package notice holds what entry hosts tell each other about slots.
+// Package notice holds what entry hosts tell each other about slots and about their contact with the store.
 package notice
 
 // Notice is one message between entry hosts. The variants are [Asked], [Queued], [Placed], [Refused],
-// [Declined], [Dropped], [Reported], [Held], [Ping] and [Pong].
+// [Declined], [Dropped], [Reported], [Held], [Ping], [Pong], [ContactAsked] and [ContactTold].
 //
 //sumtype:decl
 type Notice interface {
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -25,6 +25,10 @@
 	// movesUntil and renewsUntil are when the coordinator must stop to move and to renew.
 	movesUntil  time.Time
 	renewsUntil time.Time
+	// awayUntil is until when the store counts as away for nearly all hosts.
+	awayUntil time.Time
+	// electedAt is when this coordinator began.
+	electedAt time.Time
 	// inheritedUntil is until when an earlier coordinator's grants may hold at a backend server that can't be asked.
 	inheritedUntil time.Time
 	settledAt      time.Time
@@ -48,8 +52,8 @@
 // fencing token that any coordinator has reserved, or 0 where there was none yet.
 func New(t Terms, keys keymap.Map, fence int64, now time.Time) Ownership {
 	o := Ownership{terms: t, keys: keys, fence: fence, reserved: fence, first: fence,
-		settledAt: now.Add(t.Settle),
-		members:   map[string]instance.Instance{}, known: map[string]life{}, renewals: map[keyrange.Range]renewal{},
+		settledAt: now.Add(t.Settle), electedAt: now,
+		members: map[string]instance.Instance{}, known: map[string]life{}, renewals: map[keyrange.Range]renewal{},
 		moves: map[keyrange.Range]move{}, grants: map[int64]grant{}, releases: map[int64]keyrange.Range{}}
 	if fence > 0 {
 		o.inheritedUntil = now.Add(t.Extension + t.CallTimeout + t.LongestHold())
@@ -63,6 +67,26 @@
 	return o
 }
 
+// WithAway returns the state in which the store is known, as of now, to be away for nearly all hosts.
+func (o Ownership) WithAway(now time.Time) Ownership {
+	o.awayUntil = now.Add(o.terms.Away)
+	return o
+}
+
+// WithSound returns the state where the store is known not to have been away since a time, for any coordinator. What an
+// earlier one granted then ends sooner: it stopped soon after its lease, or made its last long grants before that time.
+func (o Ownership) WithSound(since time.Time) Ownership {
+	normal := o.electedAt.Add(o.terms.Grace + o.terms.CallTimeout + o.terms.slow(o.terms.Hold))
+	long := since.Add(o.terms.Away + o.terms.CallTimeout + o.terms.LongestHold())
+	if until := latest(normal, long); until.Before(o.inheritedUntil) {
+		o.inheritedUntil = until
+	}
+	return o
+}
+
+// Inherits reports whether an earlier coordinator's grants may hold at now.
+func (o Ownership) Inherits(now time.Time) bool { return now.Before(o.inheritedUntil) }
+
 // WithMembers returns the state with the service's backend servers as discovery tells them. The addresses give the life
 // that now has each address, of any service.
 func (o Ownership) WithMembers(members []instance.Instance, addresses map[string]string, now time.Time) Ownership {
@@ -125,7 +149,9 @@
 }
 
 // IsActing reports whether the coordinator may still act at now.
-func (o Ownership) IsActing(now time.Time) bool { return !o.isDeposed && now.Before(o.renewsUntil) }
+func (o Ownership) IsActing(now time.Time) bool {
+	return !o.isDeposed && (now.Before(o.movesUntil.Add(o.terms.Grace)) || now.Before(o.renewsUntil) && now.Before(o.awayUntil))
+}
 
 // IsDeposed reports whether another coordinator has been seen to act.
 func (o Ownership) IsDeposed() bool { return o.isDeposed }
@@ -175,7 +201,7 @@
 
 // hold returns for how long keys are granted at now.
 func (o Ownership) hold(now time.Time) time.Duration {
-	if o.movesUntil.Sub(now) < o.terms.Away {
+	if now.Before(o.awayUntil) {
 		return o.terms.HoldAway
 	}
 	return o.terms.Hold
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -27,7 +27,7 @@
 	})
 }
 
-var worldTerms = ownership.Terms{Hold: 4 * time.Second, HoldAway: 10 * time.Second, Away: lease / 2, ClockSlack: 0.025, CallTimeout: time.Second,
+var worldTerms = ownership.Terms{Hold: 4 * time.Second, HoldAway: 10 * time.Second, Away: time.Second, Grace: 2200 * time.Millisecond, ClockSlack: 0.025, CallTimeout: time.Second,
 	Renew: 1100 * time.Millisecond, Retry: 250 * time.Millisecond, Extension: 12 * time.Second, Settle: 500 * time.Millisecond,
 	Plan: 400 * time.Millisecond, Look: 50 * time.Millisecond, Stay: 200 * time.Millisecond, MostMoves: 8}
 
@@ -45,7 +45,10 @@
 	revision     int64
 	leader       int
 	leaseUntil   time.Time
-	load         keyload.Load
+	// isAway says that the store answers nobody, and lastAway when it did so last.
+	isAway   bool
+	lastAway time.Time
+	load     keyload.Load
 	// calls are under way.
 	calls []call
 	born  int64
@@ -90,16 +93,22 @@
 	w.load = w.load.With(rapid.SampledFrom([]int{5, 6, 7, 40000, 40001, 65535}).Draw(w.t, "key"), w.now)
 	w.deliver()
 	w.happen()
+	if w.isAway {
+		w.lastAway = w.now
+	}
 	w.elect()
 	for _, c := range w.coordinators {
 		if !c.isAlive {
 			continue
 		}
-		if c.leader == w.leader && !c.isCut && w.now.Before(w.leaseUntil) {
+		if c.leader == w.leader && !c.isCut && !w.isAway && w.now.Before(w.leaseUntil) {
 			w.leaseUntil = w.now.Add(lease)
 			c.state = c.state.WithLease(w.leaseUntil)
 		}
-		if !c.isCut {
+		if w.isAway && rapid.IntRange(0, 2).Draw(w.t, "told") == 0 {
+			c.state = c.state.WithAway(w.now)
+		}
+		if !c.isCut && !w.isAway {
 			c.state = c.state.WithMembers(w.members(), w.addresses(), w.now)
 		}
 		state, orders := c.state.WithTick(w, w.now)
@@ -154,6 +163,17 @@
 		if c := w.current(); c != nil {
 			c.isCut = true
 		}
+	case 9, 10:
+		// From now on only the coordinator of today reaches the server, and it is cut off from the store.
+		if c := w.current(); c != nil && s.isAlive {
+			s.hiddenFrom, s.isListed, c.isCut = w.leader+1, false, true
+		}
+	case 11:
+		if s.isAlive {
+			s.hiddenFrom, s.isListed = 0, true
+		}
+	case 7, 8:
+		w.isAway = !w.isAway
 	case 6:
 		if len(w.servers) < 10 {
 			w.start(fmt.Sprintf("n%d", len(w.servers)), fmt.Sprintf("10.0.1.%d:80", len(w.servers)))
@@ -171,13 +191,16 @@
 }
 
 func (w *world) elect() {
-	if w.now.Before(w.leaseUntil) {
+	if w.now.Before(w.leaseUntil) || w.isAway {
 		return
 	}
 	w.leader++
 	w.leaseUntil = w.now.Add(lease)
 	c := &coordinator{state: ownership.New(worldTerms, w.keys, w.fence, w.now).WithLease(w.leaseUntil), leader: w.leader,
 		revision: w.revision, isAlive: true}
+	if rapid.IntRange(0, 3).Draw(w.t, "sound") > 0 {
+		c.state = c.state.WithSound(w.lastAway)
+	}
 	w.coordinators = append(w.coordinators, c)
 }
 
@@ -205,13 +228,13 @@
 		w.call(s, next)
 	case order.Save:
 		result := order.Stale
-		if c.leader == w.leader && c.revision == w.revision && w.now.Before(w.leaseUntil) && !c.isCut {
+		if c.leader == w.leader && c.revision == w.revision && w.now.Before(w.leaseUntil) && !c.isCut && !w.isAway {
 			w.keys, w.fence = o.Keys, max(w.fence, o.Fence)
 			w.revision++
 			c.revision = w.revision
 			result = order.Done
 		}
-		if c.isCut {
+		if c.isCut || w.isAway {
 			return // it is tried again and again
 		}
 		c.state = c.state.WithSaved(o, result, w.now)
@@ -219,7 +242,7 @@
 }
 
 func (w *world) call(s *server, next call) {
-	if s.isCut || !s.isAlive {
+	if s.isCut || !s.isAlive || s.hiddenFrom > 0 && next.from.leader >= s.hiddenFrom {
 		unsent := next
 		unsent.apply, unsent.lost = func() order.Result { return order.Unsent }, false
 		next = unsent
--- a/core/ownership/server_test.go
+++ b/core/ownership/server_test.go
@@ -16,9 +16,11 @@
 	instance instance.Instance
 	isListed bool
 	isAlive  bool
-	isCut    bool
-	seen     map[int]int64
-	held     map[int]hold
+	// hiddenFrom is the first coordinator that can't reach it, or 0.
+	hiddenFrom int
+	isCut      bool
+	seen       map[int]int64
+	held       map[int]hold
 }
 
 type hold struct {
--- a/core/ownership/terms.go
+++ b/core/ownership/terms.go
@@ -6,9 +6,10 @@
 type Terms struct {
 	// Hold is how long a backend server holds keys from a grant's arrival.
 	Hold time.Duration
-	// HoldAway is the same while less than Away is left of the lease, since the store seems to be away.
+	// HoldAway is the same while the store is known to be away.
 	HoldAway time.Duration
-	Away     time.Duration
+	// Away is for how long the store counts as away after that was found.
+	Away time.Duration
 	// ClockSlack is by how much a backend server's clock may run slow, as a part of the time.
 	ClockSlack float64
 	// CallTimeout is when a call to a backend server is given up; what was sent by then may still arrive up to here.
@@ -17,7 +18,9 @@
 	Renew time.Duration
 	// Retry is the time after which a grant without an answer is sent again.
 	Retry time.Duration
-	// Extension is how long grants are renewed after the lease while the store can't be reached.
+	// Grace is how long grants are renewed after the lease in any case, and Extension while the store is known to be away for
+	// nearly all hosts, so that no other coordinator can be elected.
+	Grace     time.Duration
 	Extension time.Duration
 	// Settle is how long the first map waits for more backend servers.
 	Settle time.Duration
--- /dev/null
+++ b/io/coordination/away.go
@@ -0,0 +1,45 @@
+package coordination
+
+import (
+	"time"
+
+	"redwingsill/core/contact"
+)
+
+// lookAway finds out, with the other hosts, whether the store is away for nearly all of them while this host's lease runs
+// out, and since when it can't have been away while an earlier coordinator's grants may hold.
+func (c *Coordination) lookAway(now time.Time) {
+	isFailing := c.reign.isCoordinator && c.reign.until.Sub(now) < c.lease/2
+	isInheriting := false
+	for _, d := range c.services {
+		isInheriting = isInheriting || d.isLoaded && !d.isSound && d.state.Inherits(now)
+	}
+	if !isFailing && !isInheriting {
+		c.isAway = false
+		return
+	}
+	if now.Sub(c.contactsAt) >= contactsEvery {
+		c.contactsAt = now
+		c.peers.AskContacts()
+	}
+	contacts, hosts := c.peers.Contacts(), c.directory.Read().Len()
+	wasAway := c.isAway
+	c.isAway = isFailing && contact.IsAway(contacts, hosts, now)
+	if c.isAway != wasAway {
+		c.log.Info("store away for nearly all hosts", "IsAway", c.isAway, "Told", len(contacts), "Hosts", hosts)
+	}
+	since, isSound := contact.SoundSince(contacts, hosts, now)
+	for name, d := range c.services {
+		if !d.isLoaded {
+			continue
+		}
+		if c.isAway {
+			d.state = d.state.WithAway(now)
+		}
+		if isSound && !d.isSound {
+			d.isSound = true
+			d.state = d.state.WithSound(since)
+			c.log.Info("store not away before", "Service", name, "For", now.Sub(since), "Told", len(contacts), "Hosts", hosts)
+		}
+	}
+}
--- a/io/coordination/constants.go
+++ b/io/coordination/constants.go
@@ -23,6 +23,8 @@
 	checkPause = 500 * time.Millisecond
 	// campaignPause is the time after a try that failed.
 	campaignPause = 250 * time.Millisecond
+	// contactsEvery is the time between two questions to all hosts for their contact with the store.
+	contactsEvery = 200 * time.Millisecond
 	// savePause is the time between two tries to write.
 	savePause = 150 * time.Millisecond
 	// resignPause is the time between two tries to give the lease up.
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -35,7 +35,7 @@
 	roster    *rcu.Value[roster.Roster]
 	routing   *rcu.Value[routing.Routing]
 	desk      *desk.Desk
-	isSilent  func(host string) bool
+	peers     Peers
 	now       func() time.Time
 	log       *slog.Logger
 	group     *task.Group
@@ -48,18 +48,20 @@
 	reign     reign
 	services  map[string]*divided
 	published map[string]publication
-	absentAt  time.Time
-	checkedAt time.Time
-	campaigns int
+	// contactsAt is when the hosts were last asked for their contact with the store, and isAway what that showed.
+	contactsAt time.Time
+	isAway     bool
+	absentAt   time.Time
+	checkedAt  time.Time
+	campaigns  int
 }
 
-// New returns the part of a host. The incarnation must differ from start to start. The function isSilent tells whether a
-// host does not answer.
+// New returns the part of a host. The incarnation must differ from start to start.
 func New(name, incarnation string, terms ownership.Terms, lease time.Duration, s Store, servers Servers, r *registry.Registry,
 	hosts *rcu.Value[directory.Directory], members *rcu.Value[roster.Roster], routes *rcu.Value[routing.Routing], d *desk.Desk,
-	isSilent func(host string) bool, now func() time.Time, log *slog.Logger, changes chan struct{}) *Coordination {
+	peers Peers, now func() time.Time, log *slog.Logger, changes chan struct{}) *Coordination {
 	return &Coordination{name: name, mark: name + "/" + incarnation, terms: terms, lease: lease, store: s, servers: servers,
-		registry: r, directory: hosts, roster: members, routing: routes, desk: d, isSilent: isSilent, now: now, log: log,
+		registry: r, directory: hosts, roster: members, routing: routes, desk: d, peers: peers, now: now, log: log,
 		results: make(chan func(), resultBuffer), changes: changes, services: map[string]*divided{},
 		published: map[string]publication{}}
 }
@@ -148,6 +150,7 @@
 	now := c.now()
 	c.rule(now)
 	c.lookForServices(now)
+	c.lookAway(now)
 	for name, d := range c.services {
 		if len(d.ends) > 0 {
 			d.state = d.state.WithGranted(d.ends, now)
--- a/io/coordination/divided.go
+++ b/io/coordination/divided.go
@@ -12,6 +12,8 @@
 type divided struct {
 	state    ownership.Ownership
 	isLoaded bool
+	// isSound says that it was found out since when the store was not away.
+	isSound  bool
 	revision int64
 	members  []instance.Instance
 	// ends is the grants that have ended since the last step.
--- a/io/coordination/orders.go
+++ b/io/coordination/orders.go
@@ -21,7 +21,7 @@
 				return func() {
 					now := c.now()
 					d.state = ownership.New(c.terms, keys, fence, now).WithLease(c.reign.until)
-					d.revision, d.isLoaded, d.members = r.Revision, true, nil
+					d.revision, d.isLoaded, d.isSound, d.members = r.Revision, true, false, nil
 					c.log.Info("owners loaded", "Service", name, "Revision", r.Revision, "Holdings", len(keys.Holdings()), "Fence", fence)
 				}
 			}
--- /dev/null
+++ b/io/coordination/peers.go
@@ -0,0 +1,12 @@
+package coordination
+
+import "redwingsill/core/contact"
+
+// Peers is the other entry hosts. It is a dispatch.Dispatch.
+type Peers interface {
+	// IsSilent reports whether a host does not answer.
+	IsSilent(host string) bool
+	// AskContacts asks all hosts for their contact with the store, and Contacts returns what they told just now.
+	AskContacts()
+	Contacts() []contact.Contact
+}
--- a/io/coordination/reign.go
+++ b/io/coordination/reign.go
@@ -48,7 +48,7 @@
 		}
 	case seen != 0 && seen != c.reign.revision:
 		c.absentAt = time.Time{}
-		if c.isSilent(c.directory.Read().Coordinator) && c.turn() < checkers*turn && now.Sub(c.checkedAt) >= checkPause {
+		if c.peers.IsSilent(c.directory.Read().Coordinator) && c.turn() < checkers*turn && now.Sub(c.checkedAt) >= checkPause {
 			c.check(now)
 		}
 	default:
--- a/io/datagram/codec.go
+++ b/io/datagram/codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingsill/core/ask"
+	"redwingsill/core/contact"
 	"redwingsill/core/kind"
 	"redwingsill/core/notice"
 	"redwingsill/core/placement"
@@ -23,6 +24,8 @@
 	codePing
 	codePong
 	codeDeclined
+	codeContactAsked
+	codeContactTold
 )
 
 // reasons gives the codes of the reasons for a refusal.
@@ -70,6 +73,12 @@
 		w.code(codePing)
 	case notice.Pong:
 		w.code(codePong)
+	case notice.ContactAsked:
+		w.code(codeContactAsked)
+	case notice.ContactTold:
+		w.code(codeContactTold)
+		w.signed(int64(now.Sub(n.Contact.Since)))
+		w.signed(int64(now.Sub(n.Contact.Last)))
 	}
 	return w.bytes
 }
@@ -125,6 +134,11 @@
 		return notice.Ping{}
 	case codePong:
 		return notice.Pong{}
+	case codeContactAsked:
+		return notice.ContactAsked{}
+	case codeContactTold:
+		since, last := time.Duration(r.signed()), time.Duration(r.signed())
+		return notice.ContactTold{Contact: contact.Contact{Since: now.Add(-since), Last: now.Add(-last)}}
 	}
 	return nil
 }
--- a/io/datagram/datagram_test.go
+++ b/io/datagram/datagram_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwingsill/core/ask"
+	"redwingsill/core/contact"
 	"redwingsill/core/notice"
 	"redwingsill/core/placement"
 	"redwingsill/core/report"
@@ -29,6 +30,8 @@
 	notice.Held{Service: "s"},
 	notice.Ping{},
 	notice.Pong{},
+	notice.ContactAsked{},
+	notice.ContactTold{Contact: contact.Contact{Since: now.Add(-time.Hour), Last: now.Add(-time.Millisecond)}},
 }
 
 func TestCodec(t *testing.T) {
--- a/io/dispatch/constants.go
+++ b/io/dispatch/constants.go
@@ -25,6 +25,8 @@
 	mostCandidates = 2
 	// answerBuffer holds the answers to repeats of one ask.
 	answerBuffer = 4
+	// contactFresh is how old another host's word on its contact with the store may be: a few questions of its asker.
+	contactFresh = 600 * time.Millisecond
 	// mostHeld bounds the tickets in one list of slots in use.
 	mostHeld = 100
 )
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"redwingsill/core/ask"
+	"redwingsill/core/contact"
 	"redwingsill/core/directory"
 	"redwingsill/core/notice"
 	"redwingsill/core/placement"
@@ -39,15 +40,18 @@
 	slots   sync.Map
 	// holders gives, by pool, when it last gave out a slot.
 	holders sync.Map
+	// contact tells this host's contact with the store, and contacts gives, by address, that of others as told.
+	contact  func() contact.Contact
+	contacts sync.Map
 	// askedAt gives, by service, when another host last asked this one.
 	askedAt sync.Map
 }
 
 // New returns the dispatch of a host. The number host must differ from those of other hosts and of earlier starts. The
-// function isOpen tells whether this host gives out slots to others.
-func New(name string, host uint32, isOpen func() bool, d *desk.Desk, socket *datagram.Datagram,
+// function isOpen tells whether this host gives out slots to others, and inTouch its contact with the store.
+func New(name string, host uint32, isOpen func() bool, inTouch func() contact.Contact, d *desk.Desk, socket *datagram.Datagram,
 	directory *rcu.Value[directory.Directory], now func() time.Time, log *slog.Logger) *Dispatch {
-	return &Dispatch{name: name, host: host, now: now, log: log, isOpen: isOpen, desk: d, socket: socket, directory: directory,
+	return &Dispatch{name: name, host: host, now: now, log: log, isOpen: isOpen, contact: inTouch, desk: d, socket: socket, directory: directory,
 		silent: rcu.New(map[netip.AddrPort]time.Time{})}
 }
 
@@ -188,6 +192,10 @@
 	case notice.Ping:
 		d.send(from, notice.Pong{})
 	case notice.Pong:
+	case notice.ContactAsked:
+		d.send(from, notice.ContactTold{Contact: d.contact()})
+	case notice.ContactTold:
+		d.contacts.Store(from, told{contact: n.Contact, at: d.now()})
 	}
 }
 
--- a/io/dispatch/dispatch_test.go
+++ b/io/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"redwingsill/core/ask"
+	"redwingsill/core/contact"
 	"redwingsill/core/directory"
 	"redwingsill/core/instance"
 	"redwingsill/core/placement"
@@ -29,6 +30,8 @@
 	RunSpecs(t, "Dispatch")
 }
 
+func noContact() contact.Contact { return contact.Contact{} }
+
 // host is one entry host's dispatch.
 type host struct {
 	name     string
@@ -48,7 +51,7 @@
 		h.isOpen.Store(true)
 		socket, clean, err := datagram.New(h.address.String(), time.Now)
 		Expect(err).NotTo(HaveOccurred())
-		h.dispatch = dispatch.New(h.name, uint32(i+1), h.isOpen.Load, h.desk, socket, hosts, time.Now, slog.New(slog.DiscardHandler))
+		h.dispatch = dispatch.New(h.name, uint32(i+1), h.isOpen.Load, noContact, h.desk, socket, hosts, time.Now, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() {
@@ -159,7 +162,7 @@
 		socket, clean, err := datagram.New(all[0].address.String(), time.Now)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(clean)
-		back := dispatch.New(all[0].name, 9, func() bool { return true }, desk.New(time.Now), socket, rcu.New(directory.Directory{}), time.Now, slog.New(slog.DiscardHandler))
+		back := dispatch.New(all[0].name, 9, func() bool { return true }, noContact, desk.New(time.Now), socket, rcu.New(directory.Directory{}), time.Now, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		go back.Receive(ctx)
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -19,7 +19,8 @@
 )
 
 // News is a client of other entry hosts' news. Its methods may be called at the same time. Errors are an [*Error]: of kind
-// NotFound where the history does not reach back so far, else Unavailable.
+// NotFound where the history does not reach back so far, Unavailable where the host says that it does not know, and Unknown
+// where it does not answer.
 type News struct {
 	http *http.Client
 }
@@ -51,7 +52,7 @@
 	}
 	response, err := n.http.Do(r)
 	if err != nil {
-		return nil, 0, newError("ask for news", kind.Unavailable, err)
+		return nil, 0, newError("ask for news", kind.Unknown, err)
 	}
 	defer func() { _ = response.Body.Close() }() // what mattered of it has been read
 	switch response.StatusCode {
@@ -63,7 +64,7 @@
 	}
 	var d document
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&d); err != nil {
-		return nil, 0, newError("ask for news", kind.Unavailable, err)
+		return nil, 0, newError("ask for news", kind.Unknown, err)
 	}
 	records := make([]record.Record, len(d.Records))
 	for i, each := range d.Records {
--- a/io/relay/constants.go
+++ b/io/relay/constants.go
@@ -23,6 +23,9 @@
 	ownPause = 2500 * time.Millisecond
 	// freshMargin is how much longer than the wait of a watch the store's last answer may be ago.
 	freshMargin = 700 * time.Millisecond
+	// toldPause is the average time after which a host is asked again that said that it does not know: news should be known
+	// everywhere within a second of the store's return.
+	toldPause = 300 * time.Millisecond
 	// avoidFirst and avoidMost bound how long a host is left alone that did not answer; it doubles with each failure in a
 	// row.
 	avoidFirst = 1500 * time.Millisecond
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"redwingsill/core/contact"
 	"redwingsill/core/directory"
 	"redwingsill/core/kind"
 	"redwingsill/core/rcu"
@@ -38,6 +39,7 @@
 	base    time.Time
 	askedAt atomic.Int64
 	turn    *rcu.Value[turn]
+	contact *rcu.Value[contact.Contact]
 	avoided *rcu.Value[map[string]avoided]
 }
 
@@ -47,6 +49,7 @@
 	hosts *rcu.Value[directory.Directory], now func() time.Time, log *slog.Logger) *Relay {
 	r := &Relay{name: name, dataCentre: dataCentre, store: s, peers: peers, directory: hosts, now: now, log: log,
 		copies: map[string]*rcu.Value[copied]{}, pauses: pauses, base: now(), turn: rcu.New(newTurn()),
+		contact: rcu.New(contact.Contact{}),
 		avoided: rcu.New(map[string]avoided{})}
 	for prefix := range pauses {
 		r.copies[prefix] = rcu.New(copied{changed: make(chan struct{})})
@@ -98,6 +101,7 @@
 		case err == nil:
 			r.answers(name)
 			r.keep(prefix, func(c copied) copied { return c.with(changes, at).withPeer() })
+			r.heard(prefix)
 			return changes, at, nil
 		case ctx.Err() != nil || isKind(err, kind.NotFound):
 			return nil, 0, err
@@ -120,9 +124,23 @@
 		}
 		return c.with(changes, at).withStore(r.now(), wait+r.pauses[prefix]+freshMargin)
 	})
+	if err == nil {
+		r.heard(prefix)
+	}
 	return changes, at, err
 }
 
+// Contact returns this host's contact with the store, by itself or through another host.
+func (r *Relay) Contact() contact.Contact { return r.contact.Load() }
+
+// heard notes a word from the store. Only the prefixes that are watched without a pause tell of it often enough.
+func (r *Relay) heard(prefix string) {
+	if r.pauses[prefix] == 0 {
+		now := r.now()
+		r.contact.Update(func(c contact.Contact) contact.Contact { return c.With(now) })
+	}
+}
+
 // listen waits for another host's news, until this host has to read the store itself.
 func (r *Relay) listen(ctx context.Context, address netip.AddrPort, prefix string, after int64) ([]record.Record, int64, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -190,21 +208,31 @@
 
 func (r *Relay) isAsked() bool { return r.now().Sub(r.base)-time.Duration(r.askedAt.Load()) < askedFor }
 
-// avoid leaves a host alone for a while.
+// avoid leaves a host alone for a while. One that answers that it does not know the store's news is asked again soon, since
+// that costs the store nothing.
 func (r *Relay) avoid(name string, err error) {
 	now := r.now()
+	isTold := isKind(err, kind.Unavailable)
+	isNew := false
 	next := r.avoided.Update(func(old map[string]avoided) map[string]avoided {
-		next := maps.Clone(old)
-		a := next[name]
+		a, known := old[name]
+		isNew = !known
 		if now.Before(a.until) { // another question to it has failed as well
-			return next
+			return old
+		}
+		next := maps.Clone(old)
+		if isTold {
+			a.until = now.Add(toldPause/2 + rand.N(toldPause))
+		} else {
+			a.until = now.Add(min(avoidFirst<<min(a.failures, 8), avoidMost))
+			a.failures++
 		}
-		a.until = now.Add(min(avoidFirst<<min(a.failures, 8), avoidMost))
-		a.failures++
 		next[name] = a
 		return next
 	})
-	r.log.Info("news not told", "By", name, "Failures", next[name].failures, "Error", err)
+	if isNew {
+		r.log.Info("news not told", "By", name, "Failures", next[name].failures, "Error", err)
+	}
 }
 
 // answers notes that a host has answered.
--- a/io/relay/wires_test.go
+++ b/io/relay/wires_test.go
@@ -56,7 +56,7 @@
 	defer w.mu.Unlock()
 	name := w.names[at]
 	if w.gone[name] {
-		return nil, failure.New("ask", kind.Unavailable, errors.New("refused"))
+		return nil, failure.New("ask", kind.Unknown, errors.New("refused"))
 	}
 	if w.silent[name] {
 		return nil, nil
@@ -91,5 +91,5 @@
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return failure.New("ask", kind.Unavailable, errors.New("silent"))
+	return failure.New("ask", kind.Unknown, errors.New("silent"))
 }
