News from the store carries its age, and a server that leaves is left in time however late that is heard

Change: what a reader tells is at most 1.1 s old; a reader that the store fails says so at once; hosts that the store turns away ask readers of other data centres; each answer has its age, and the last request to a leaving server counts from the last time that the store is known not to have said so. Ruled out: longer margins alone (the wait for another reader has no bound that is short enough).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -50,6 +50,17 @@
 // All returns the hosts in the order of their names. They must not be changed.
 func (d Directory) All() []host { return d.hosts }
 
+// DataCentres returns the names of the hosts' data centres, in order.
+func (d Directory) DataCentres() []string {
+	var all []string
+	for _, h := range d.hosts {
+		if n, ok := slices.BinarySearch(all, h.DataCentre); !ok {
+			all = slices.Insert(all, n, h.DataCentre)
+		}
+	}
+	return all
+}
+
 // Find returns a host by its name.
 func (d Directory) Find(name string) (host, bool) {
 	n, ok := d.index(name)
--- a/io/news/constants.go
+++ b/io/news/constants.go
@@ -14,7 +14,7 @@
 	// dialTimeout and answerMargin bound how long a silent host is waited for: news must be in force within two seconds,
 	// and others have to be asked then.
 	dialTimeout  = 300 * time.Millisecond
-	answerMargin = 400 * time.Millisecond
+	answerMargin = 300 * time.Millisecond
 	// listTimeout bounds the reading of all entries, perhaps some hundred kilobytes over a narrow link.
 	listTimeout = 2 * time.Second
 	// maxAnswer bounds an answer, in bytes.
--- a/io/news/handler.go
+++ b/io/news/handler.go
@@ -10,20 +10,20 @@
 	"time"
 
 	"redwingsill/core/kind"
-	"redwingsill/core/record"
+	"redwingsill/core/update"
 )
 
 // Handler serves a source to other entry hosts.
 func Handler(s Source, log *slog.Logger) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		records, at, err := answer(s, r)
+		told, err := answer(s, r)
 		if err != nil {
 			w.WriteHeader(statusOf(err))
 			return
 		}
-		d := document{At: at, Records: make([]entry, len(records))}
+		d := document{At: told.At, Age: told.Age, Records: make([]entry, len(told.Records))}
 		size := 0
-		for i, each := range records {
+		for i, each := range told.Records {
 			d.Records[i] = entryOf(each)
 			size += len(each.Value)
 		}
@@ -41,18 +41,18 @@
 	})
 }
 
-func answer(s Source, r *http.Request) ([]record.Record, int64, error) {
+func answer(s Source, r *http.Request) (update.Update, error) {
 	q := r.URL.Query()
 	if q.Get(afterField) == "" {
 		return s.Entries(r.Context(), q.Get(prefixField))
 	}
 	after, err := strconv.ParseInt(q.Get(afterField), 10, 64)
 	if err != nil {
-		return nil, 0, newError("answer", kind.Invalid, err)
+		return update.Update{}, newError("answer", kind.Invalid, err)
 	}
 	wait, err := time.ParseDuration(q.Get(waitField))
 	if err != nil {
-		return nil, 0, newError("answer", kind.Invalid, err)
+		return update.Update{}, newError("answer", kind.Invalid, err)
 	}
 	return s.Changes(r.Context(), q.Get(prefixField), after, min(wait, mostWait))
 }
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -15,6 +15,7 @@
 
 	"redwingsill/core/kind"
 	"redwingsill/core/record"
+	"redwingsill/core/update"
 	"redwingsill/io/tcp"
 )
 
@@ -32,43 +33,43 @@
 	return &News{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
 
-// Entries returns all entries under a prefix that a host knows, and the revision as of which they are.
-func (n *News) Entries(ctx context.Context, at netip.AddrPort, prefix string) ([]record.Record, int64, error) {
+// Entries returns all entries under a prefix that a host knows.
+func (n *News) Entries(ctx context.Context, at netip.AddrPort, prefix string) (update.Update, error) {
 	return n.ask(ctx, at, url.Values{prefixField: {prefix}}, listTimeout)
 }
 
 // Changes waits for changes after a revision that a host hears of, up to a time.
-func (n *News) Changes(ctx context.Context, at netip.AddrPort, prefix string, after int64, wait time.Duration) ([]record.Record, int64, error) {
+func (n *News) Changes(ctx context.Context, at netip.AddrPort, prefix string, after int64, wait time.Duration) (update.Update, error) {
 	return n.ask(ctx, at, url.Values{prefixField: {prefix}, afterField: {strconv.FormatInt(after, 10)}, waitField: {wait.String()}},
 		wait+answerMargin)
 }
 
-func (n *News) ask(ctx context.Context, at netip.AddrPort, query url.Values, timeout time.Duration) ([]record.Record, int64, error) {
+func (n *News) ask(ctx context.Context, at netip.AddrPort, query url.Values, timeout time.Duration) (update.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+Path+"?"+query.Encode(), nil)
 	if err != nil {
-		return nil, 0, newError("ask for news", kind.Invalid, err)
+		return update.Update{}, newError("ask for news", kind.Invalid, err)
 	}
 	response, err := n.http.Do(r)
 	if err != nil {
-		return nil, 0, newError("ask for news", kind.Unknown, err)
+		return update.Update{}, newError("ask for news", kind.Unknown, err)
 	}
 	defer func() { _ = response.Body.Close() }() // what mattered of it has been read
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusGone:
-		return nil, 0, newError("ask for news", kind.NotFound, errors.New(response.Status))
+		return update.Update{}, newError("ask for news", kind.NotFound, errors.New(response.Status))
 	default:
-		return nil, 0, newError("ask for news", kind.Unavailable, errors.New(response.Status))
+		return update.Update{}, newError("ask for news", kind.Unavailable, errors.New(response.Status))
 	}
 	var d document
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&d); err != nil {
-		return nil, 0, newError("ask for news", kind.Unknown, err)
+		return update.Update{}, newError("ask for news", kind.Unknown, err)
 	}
 	records := make([]record.Record, len(d.Records))
 	for i, each := range d.Records {
 		records[i] = each.record()
 	}
-	return records, d.At, nil
+	return update.Update{Records: records, At: d.At, Age: d.Age}, nil
 }
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -16,6 +16,7 @@
 	"redwingsill/core/failure"
 	"redwingsill/core/kind"
 	"redwingsill/core/record"
+	"redwingsill/core/update"
 	"redwingsill/io/news"
 )
 
@@ -26,14 +27,14 @@
 	asked   string
 }
 
-func (s *source) Entries(_ context.Context, prefix string) ([]record.Record, int64, error) {
+func (s *source) Entries(_ context.Context, prefix string) (update.Update, error) {
 	s.asked = "all of " + prefix
-	return s.records, 77, s.err
+	return update.Update{Records: s.records, At: 77, Age: 30 * time.Millisecond}, s.err
 }
 
-func (s *source) Changes(_ context.Context, prefix string, after int64, wait time.Duration) ([]record.Record, int64, error) {
+func (s *source) Changes(_ context.Context, prefix string, after int64, wait time.Duration) (update.Update, error) {
 	s.asked = fmt.Sprint(prefix, " after ", after, " for ", wait)
-	return s.records, 77, s.err
+	return update.Update{Records: s.records, At: 77, Age: 30 * time.Millisecond}, s.err
 }
 
 func serve(t *testing.T, s news.Source) (*news.News, netip.AddrPort, string) {
@@ -53,15 +54,15 @@
 		t.Run(name, func(t *testing.T) {
 			s := &source{records: records}
 			n, at, _ := serve(t, s)
-			for _, ask := range []func() ([]record.Record, int64, error){
-				func() ([]record.Record, int64, error) { return n.Entries(context.Background(), at, "p/") },
-				func() ([]record.Record, int64, error) {
+			for _, ask := range []func() (update.Update, error){
+				func() (update.Update, error) { return n.Entries(context.Background(), at, "p/") },
+				func() (update.Update, error) {
 					return n.Changes(context.Background(), at, "p/", 12, 600*time.Millisecond)
 				},
 			} {
-				got, revision, err := ask()
-				if err != nil || revision != 77 || fmt.Sprint(got) != fmt.Sprint(records) {
-					t.Errorf("%d records at %d, %v; want %d at 77", len(got), revision, err, len(records))
+				got, err := ask()
+				if err != nil || got.At != 77 || got.Age != 30*time.Millisecond || fmt.Sprint(got.Records) != fmt.Sprint(records) {
+					t.Errorf("%d records at %d, %v old, %v; want %d at 77", len(got.Records), got.At, got.Age, err, len(records))
 				}
 			}
 			if want := "p/ after 12 for 600ms"; s.asked != want {
@@ -74,7 +75,7 @@
 func TestFailuresKeepTheirKind(t *testing.T) {
 	for given, want := range map[kind.Kind]kind.Kind{kind.NotFound: kind.NotFound, kind.Unavailable: kind.Unavailable, kind.Unknown: kind.Unavailable} {
 		n, at, _ := serve(t, &source{err: failure.New("tell", given, errors.New("a fault"))})
-		_, _, err := n.Changes(context.Background(), at, "p/", 1, time.Second)
+		_, err := n.Changes(context.Background(), at, "p/", 1, time.Second)
 		var failed *news.Error
 		if !errors.As(err, &failed) || failed.Kind != want {
 			t.Errorf("%s came as %v, want %s", given, err, want)
@@ -102,7 +103,7 @@
 	n, clean := news.New()
 	t.Cleanup(clean)
 	began := time.Now()
-	_, _, err := n.Changes(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), "p/", 1, 600*time.Millisecond)
+	_, err := n.Changes(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), "p/", 1, 600*time.Millisecond)
 	if took := time.Since(began); err == nil || took > 1200*time.Millisecond {
 		t.Errorf("given up after %v with %v, want an error within 1.2 s", took, err)
 	}
--- a/io/relay/avoided.go
+++ b/io/relay/avoided.go
@@ -2,8 +2,11 @@
 
 import "time"
 
-// avoided is a host that did not answer.
+// avoided is a host that failed to tell news.
 type avoided struct {
-	until    time.Time
-	failures int
+	// since is when it failed last, and until how long it is left alone.
+	since, until time.Time
+	failures     int
+	// isTold says that the host answered, and did not know the news.
+	isTold bool
 }
--- a/io/relay/peers.go
+++ b/io/relay/peers.go
@@ -5,11 +5,11 @@
 	"net/netip"
 	"time"
 
-	"redwingsill/core/record"
+	"redwingsill/core/update"
 )
 
 // Peers asks other entry hosts what the store holds. It is a [redwingsill/io/news.News].
 type Peers interface {
-	Entries(ctx context.Context, at netip.AddrPort, prefix string) ([]record.Record, int64, error)
-	Changes(ctx context.Context, at netip.AddrPort, prefix string, after int64, wait time.Duration) ([]record.Record, int64, error)
+	Entries(ctx context.Context, at netip.AddrPort, prefix string) (update.Update, error)
+	Changes(ctx context.Context, at netip.AddrPort, prefix string, after int64, wait time.Duration) (update.Update, error)
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -17,6 +17,7 @@
 	"redwingsill/core/kind"
 	"redwingsill/core/rcu"
 	"redwingsill/core/record"
+	"redwingsill/core/update"
 	"redwingsill/io/follow"
 	"redwingsill/io/task"
 )
@@ -61,23 +62,23 @@
 // List implements follow.Store.
 func (r *Relay) List(ctx context.Context, prefix string, mayBeStale bool) ([]record.Record, int64, error) {
 	for {
-		name, address, ok := r.reader()
+		to, ok := r.reader(prefix)
 		if !ok {
 			break
 		}
-		records, at, err := r.peers.Entries(ctx, address, prefix)
+		told, err := r.peers.Entries(ctx, to.address, prefix)
 		if err == nil {
-			r.answers(name)
-			r.keep(prefix, func(c copied) copied { return c.withAll(records, at).withPeer() })
-			return records, at, nil
+			r.answers(to.name)
+			r.keep(prefix, func(c copied) copied { return c.withAll(told.Records, told.At).withPeer(r.now().Add(-told.Age)) })
+			return told.Records, told.At, nil
 		}
 		if ctx.Err() != nil {
 			return nil, 0, err
 		}
-		r.avoid(name, err)
+		r.avoid(to.name, err)
 	}
-	if err := r.mayRead(prefix); err != nil {
-		return nil, 0, err
+	if r.isFailing(prefix) {
+		return nil, 0, errFailing()
 	}
 	records, at, err := r.store.List(ctx, prefix, mayBeStale)
 	r.keep(prefix, func(c copied) copied {
@@ -92,25 +93,26 @@
 // Watch implements follow.Store.
 func (r *Relay) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]record.Record, int64, error) {
 	for {
-		name, address, ok := r.reader()
+		wasAsked := r.isAsked()
+		to, ok := r.reader(prefix)
 		if !ok {
 			break
 		}
-		changes, at, err := r.listen(ctx, address, prefix, after)
+		told, err := r.listen(ctx, to.address, prefix, after)
 		switch {
 		case err == nil:
-			r.answers(name)
-			r.keep(prefix, func(c copied) copied { return c.with(changes, at).withPeer() })
+			r.answers(to.name)
+			r.keep(prefix, func(c copied) copied { return c.with(told.Records, told.At).withPeer(r.now().Add(-told.Age)) })
 			r.heard(prefix)
-			return changes, at, nil
+			return told.Records, told.At, nil
 		case ctx.Err() != nil || isKind(err, kind.NotFound):
 			return nil, 0, err
-		case !r.isAsked(): // else it was this host that ended the question
-			r.avoid(name, err)
+		case wasAsked || !r.isAsked(): // else it was this host that ended the question
+			r.avoid(to.name, err)
 		}
 	}
-	if err := r.mayRead(prefix); err != nil {
-		return nil, 0, err
+	if r.isFailing(prefix) {
+		return nil, 0, errFailing()
 	}
 	if last := r.copies[prefix].Read().readAt; last.IsZero() {
 		wait = confirmWait
@@ -130,6 +132,10 @@
 	return changes, at, err
 }
 
+// Since returns when the store had said, by this host's knowledge, that there was nothing newer under a prefix than what was
+// known before the newest changes: they were written after it. It is the zero time where that is not known.
+func (r *Relay) Since(prefix string) time.Time { return r.copies[prefix].Read().before }
+
 // Contact returns this host's contact with the store, by itself or through another host.
 func (r *Relay) Contact() contact.Contact { return r.contact.Load() }
 
@@ -142,7 +148,7 @@
 }
 
 // listen waits for another host's news, until this host has to read the store itself.
-func (r *Relay) listen(ctx context.Context, address netip.AddrPort, prefix string, after int64) ([]record.Record, int64, error) {
+func (r *Relay) listen(ctx context.Context, address netip.AddrPort, prefix string, after int64) (update.Update, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.turn.Read().ctx, cancel)()
@@ -159,45 +165,71 @@
 	close(old.changed)
 }
 
-// mayRead returns an error while the store should be left alone: it failed this host, and no other host needs its news
-// from here. All hosts at once would be more than the store can bear as it returns.
-func (r *Relay) mayRead(prefix string) error {
+// isFailing reports whether the store should be left alone, since it failed this host just now. Those that others rely on try
+// it again soon; all hosts at once would be more than it can bear as it returns.
+func (r *Relay) isFailing(prefix string) bool {
 	failedAt := r.copies[prefix].Read().failedAt
-	if failedAt.IsZero() || r.isFirst() || r.now().Sub(failedAt) >= ownPause/2+rand.N(ownPause) {
-		return nil
+	if failedAt.IsZero() {
+		return false
 	}
-	return newError("read the store", kind.Unavailable, errors.New("the store failed this host and those that read it for others"))
+	first := r.candidates(r.dataCentre)
+	if r.isAsked() || len(first) == 0 || first[0].name == r.name {
+		return r.now().Sub(failedAt) < readerPause
+	}
+	return r.now().Sub(failedAt) < ownPause/2+rand.N(ownPause)
 }
 
-// isFirst reports whether other hosts rely on this one.
-func (r *Relay) isFirst() bool {
-	first := r.candidates()
-	return r.isAsked() || len(first) == 0 || first[0].name == r.name
+func errFailing() error {
+	return newError("read the store", kind.Unavailable, errors.New("the store failed this host and those that read it for others"))
 }
 
-// reader returns the host to ask, and whether there is one; else this host reads the store itself.
-func (r *Relay) reader() (string, netip.AddrPort, bool) {
-	if r.isAsked() {
-		return "", netip.AddrPort{}, false
-	}
+// reader returns the host to ask, and whether there is one; else this host reads the store itself. Where the store fails
+// this host and those of its data centre, the readers of others are asked.
+func (r *Relay) reader(prefix string) (candidate, bool) {
 	now := r.now()
-	for _, c := range r.candidates() {
-		if c.name == r.name {
-			break
+	isFailing := r.isFailing(prefix)
+	if !r.isAsked() {
+		for _, c := range r.candidates(r.dataCentre) {
+			if c.name == r.name {
+				break
+			}
+			if r.isOpen(c, isFailing, now) {
+				return c, true
+			}
 		}
-		if !now.Before((*r.avoided.Read())[c.name].until) {
-			return c.name, c.address, true
+	}
+	if !isFailing {
+		return candidate{}, false
+	}
+	for _, other := range r.directory.Read().DataCentres() {
+		if other == r.dataCentre {
+			continue
+		}
+		for _, c := range r.candidates(other) {
+			if r.isOpen(c, true, now) {
+				return c, true
+			}
 		}
 	}
-	return "", netip.AddrPort{}, false
+	return candidate{}, false
+}
+
+// isOpen reports whether a host may be asked. One that only said that it does not know is asked again soon by hosts that do
+// not know either.
+func (r *Relay) isOpen(c candidate, isFailing bool, now time.Time) bool {
+	a := (*r.avoided.Read())[c.name]
+	if isFailing && a.isTold {
+		return !now.Before(a.since.Add(toldPause))
+	}
+	return !now.Before(a.until)
 }
 
-// candidates returns the hosts of the data centre that read the store for others, the first one first.
-func (r *Relay) candidates() []candidate {
+// candidates returns the hosts of a data centre that read the store for others, the first one first.
+func (r *Relay) candidates(dataCentre string) []candidate {
 	hosts := r.directory.Read()
-	first := hosts.First(subject+r.dataCentre, readers, func(name string) bool {
+	first := hosts.First(subject+dataCentre, readers, func(name string) bool {
 		h, _ := hosts.Find(name)
-		return h.DataCentre != r.dataCentre
+		return h.DataCentre != dataCentre
 	})
 	all := make([]candidate, len(first))
 	for i, h := range first {
@@ -208,25 +240,19 @@
 
 func (r *Relay) isAsked() bool { return r.now().Sub(r.base)-time.Duration(r.askedAt.Load()) < askedFor }
 
-// avoid leaves a host alone for a while. One that answers that it does not know the store's news is asked again soon, since
-// that costs the store nothing.
+// avoid leaves a host alone for a while, the longer the more often it failed in a row.
 func (r *Relay) avoid(name string, err error) {
 	now := r.now()
-	isTold := isKind(err, kind.Unavailable)
 	isNew := false
 	next := r.avoided.Update(func(old map[string]avoided) map[string]avoided {
 		a, known := old[name]
 		isNew = !known
-		if now.Before(a.until) { // another question to it has failed as well
-			return old
-		}
 		next := maps.Clone(old)
-		if isTold {
-			a.until = now.Add(toldPause/2 + rand.N(toldPause))
-		} else {
+		if !now.Before(a.until) { // else another question to it has failed as well
 			a.until = now.Add(min(avoidFirst<<min(a.failures, 8), avoidMost))
 			a.failures++
 		}
+		a.since, a.isTold = now, isKind(err, kind.Unavailable)
 		next[name] = a
 		return next
 	})
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -157,7 +157,7 @@
 		first := d.hosts[0]
 		first.stop() // as if it was frozen: it reads nothing, but still answers
 		time.Sleep(1300 * time.Millisecond)
-		_, _, err := first.relay.Entries(context.Background(), "p/")
+		_, err := first.relay.Entries(context.Background(), "p/")
 		Expect(err).To(HaveOccurred())
 		d.expect(1500*time.Millisecond, d.hosts[1:]...)
 	})
--- a/io/relay/source.go
+++ b/io/relay/source.go
@@ -6,21 +6,21 @@
 	"time"
 
 	"redwingsill/core/kind"
-	"redwingsill/core/record"
+	"redwingsill/core/update"
 )
 
 // Entries implements news.Source.
-func (r *Relay) Entries(ctx context.Context, prefix string) ([]record.Record, int64, error) {
+func (r *Relay) Entries(ctx context.Context, prefix string) (update.Update, error) {
 	r.asked()
 	c, err := r.fresh(ctx, prefix)
 	if err != nil {
-		return nil, 0, err
+		return update.Update{}, err
 	}
-	return c.feed.All(), c.feed.At(), nil
+	return update.Update{Records: c.feed.All(), At: c.feed.At(), Age: r.now().Sub(c.readAt)}, nil
 }
 
 // Changes implements news.Source.
-func (r *Relay) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]record.Record, int64, error) {
+func (r *Relay) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (update.Update, error) {
 	r.asked()
 	c, err := r.fresh(ctx, prefix)
 	timer := time.NewTimer(wait)
@@ -29,19 +29,25 @@
 		changes, ok := c.feed.After(after)
 		switch {
 		case !ok:
-			return nil, 0, newError("tell news", kind.NotFound, errors.New("the changes asked for are forgotten"))
+			return update.Update{}, newError("tell news", kind.NotFound, errors.New("the changes asked for are forgotten"))
 		case len(changes) > 0 || isOver:
-			return changes, c.feed.At(), nil
+			return update.Update{Records: changes, At: c.feed.At(), Age: r.now().Sub(c.readAt)}, nil
 		}
+		stale := time.NewTimer(c.readAt.Add(c.lasts).Sub(r.now()))
 		select {
 		case <-c.changed:
+		case <-stale.C:
 		case <-timer.C:
 			isOver = true
 		case <-ctx.Done():
-			return nil, 0, newError("tell news", kind.Unavailable, ctx.Err())
+			err = newError("tell news", kind.Unavailable, ctx.Err())
+		}
+		stale.Stop()
+		if ctx.Err() != nil {
+			return update.Update{}, err
 		}
 	}
-	return nil, 0, err
+	return update.Update{}, err
 }
 
 // asked notes that another host relies on this one.
@@ -67,9 +73,13 @@
 	}
 	for {
 		c := shared.Load()
-		if c.isFresh(r.now()) {
+		now := r.now()
+		if c.isFresh(now) {
 			return c, nil
 		}
+		if c.hasFailed(now) {
+			return copied{}, newError("tell news", kind.Unavailable, errors.New("the store fails this host"))
+		}
 		select {
 		case <-c.changed:
 		case <-timer.C:
--- a/io/relay/wires_test.go
+++ b/io/relay/wires_test.go
@@ -9,7 +9,7 @@
 
 	"redwingsill/core/failure"
 	"redwingsill/core/kind"
-	"redwingsill/core/record"
+	"redwingsill/core/update"
 	"redwingsill/io/relay"
 )
 
@@ -65,19 +65,19 @@
 }
 
 // Entries implements relay.Peers.
-func (w *wires) Entries(ctx context.Context, at netip.AddrPort, prefix string) ([]record.Record, int64, error) {
+func (w *wires) Entries(ctx context.Context, at netip.AddrPort, prefix string) (update.Update, error) {
 	r, err := w.to(at)
 	if err != nil || r == nil {
-		return nil, 0, silence(ctx, answerTime, err)
+		return update.Update{}, silence(ctx, answerTime, err)
 	}
 	return r.Entries(ctx, prefix)
 }
 
 // Changes implements relay.Peers.
-func (w *wires) Changes(ctx context.Context, at netip.AddrPort, prefix string, after int64, wait time.Duration) ([]record.Record, int64, error) {
+func (w *wires) Changes(ctx context.Context, at netip.AddrPort, prefix string, after int64, wait time.Duration) (update.Update, error) {
 	r, err := w.to(at)
 	if err != nil || r == nil {
-		return nil, 0, silence(ctx, wait+answerTime, err)
+		return update.Update{}, silence(ctx, wait+answerTime, err)
 	}
 	return r.Changes(ctx, prefix, after, wait)
 }
