Log lines are key=value, and a flood of one kind hides no other

Cause: while a broken rule was traced, the lines that told it were missing: one bound of 100 lines a second for all kinds, used up by request lines. The house style asks for key=value pairs, the platform's front wrote JSON. Change: 40 lines a second of each kind; what is left out is counted and told each second with its kind. Tests: a flood of 10,000 lines of one kind, a bound for each second, a reader that stops.

--- a/io/logging/logging.go
+++ b/io/logging/logging.go
@@ -10,38 +10,36 @@
 )
 
 const (
-	// lines is how many lines may wait to be written: some seconds of the most that perSecond allows.
-	lines = 512
-	// perSecond bounds the lines a second, since each costs processor time that requests need; more are counted.
-	perSecond = 100
+	// queued is how many lines may wait to be written: a few seconds of an ordinary day.
+	queued = 512
+	// perKind bounds the lines of one kind in a second, since each costs processor time that requests need. A flood of one
+	// kind leaves the others alone.
+	perKind = 40
+	// reportEvery is the time between two reports of lines that were left out.
+	reportEvery = time.Second
 )
 
-// Logging is a writer of log lines. Lines that come faster than they can be written, or than the bound allows, are dropped
-// and counted.
+// Logging is a writer of log lines. Lines that come faster than they can be written, or than the bound of their kind allows,
+// are left out, counted and reported.
 type Logging struct {
 	out     io.Writer
 	queue   chan []byte
 	dropped atomic.Int64
-	second  atomic.Int64
-	count   atomic.Int64
-	now     func() time.Time
+	kinds   *kinds
+	log     *slog.Logger
 }
 
-// New returns a logger of JSON lines with the host's name, and the writer behind it, whose Run must be called.
+// New returns a logger of key=value lines with the host's name, and the writer behind it, whose Run must be called. The
+// message of a line is its kind.
 func New(out io.Writer, level slog.Level, host string, now func() time.Time) (*slog.Logger, *Logging) {
-	l := &Logging{out: out, queue: make(chan []byte, lines), now: now}
-	return slog.New(slog.NewJSONHandler(l, &slog.HandlerOptions{Level: level})).With("Host", host), l
+	l := &Logging{out: out, queue: make(chan []byte, queued), kinds: newKinds(now)}
+	lines := slog.NewTextHandler(l, &slog.HandlerOptions{Level: level})
+	l.log = slog.New(lines).With("Host", host)
+	return slog.New(bounded{Handler: lines, kinds: l.kinds}).With("Host", host), l
 }
 
 // Write implements io.Writer. It never waits.
 func (l *Logging) Write(line []byte) (int, error) {
-	if second := l.now().Unix(); l.second.Swap(second) != second {
-		l.count.Store(0)
-	}
-	if l.count.Add(1) > perSecond {
-		l.dropped.Add(1)
-		return len(line), nil
-	}
 	select {
 	case l.queue <- append([]byte(nil), line...):
 	default:
@@ -50,16 +48,21 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were dropped.
-func (l *Logging) Dropped() int64 { return l.dropped.Load() }
+// Dropped returns how many lines were left out.
+func (l *Logging) Dropped() int64 { return l.dropped.Load() + l.kinds.leftOut() }
 
 // Run writes lines until the context ends and all that waited is written.
 func (l *Logging) Run(ctx context.Context) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
 	for {
 		select {
 		case line := <-l.queue:
 			l.write(line)
+		case <-ticker.C:
+			l.report()
 		case <-ctx.Done():
+			l.report()
 			for len(l.queue) > 0 {
 				l.write(<-l.queue)
 			}
@@ -68,6 +71,13 @@
 	}
 }
 
+// report tells how many lines of each kind were left out since the last report.
+func (l *Logging) report() {
+	for kind, lines := range l.kinds.unreported() {
+		l.log.Warn("log lines left out", "Kind", kind, "Lines", lines, "Bound", perKind)
+	}
+}
+
 func (l *Logging) write(line []byte) {
 	if _, err := l.out.Write(line); err != nil {
 		l.dropped.Add(1) // there is nowhere else to tell it than the counter
--- /dev/null
+++ b/io/logging/logging_test.go
@@ -0,0 +1,107 @@
+package logging_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"redwingsill/io/logging"
+)
+
+// output keeps what is written, or never returns from a write while it is blocked.
+type output struct {
+	mu      sync.Mutex
+	text    bytes.Buffer
+	blocked chan struct{}
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	if o.blocked != nil {
+		<-o.blocked
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(b)
+}
+
+func (o *output) count(part string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Count(o.text.String(), part)
+}
+
+func run(l *logging.Logging) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+func TestAFloodOfOneKindHidesNoOther(t *testing.T) {
+	out := &output{}
+	now := time.Unix(1000, 0)
+	log, l := logging.New(out, slog.LevelInfo, "ilo-1", func() time.Time { return now })
+	stop := run(l)
+	for i := range 10_000 {
+		log.Info("request", "ID", i)
+		if i%2_000 == 0 {
+			log.Warn("store lost", "Failures", i)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	stop()
+	if got := out.count("msg=request "); got != 40 {
+		t.Errorf("%d lines of the flood, want the bound of 40", got)
+	}
+	if got := out.count(`msg="store lost"`); got != 5 {
+		t.Errorf("%d of 5 lines of another kind", got)
+	}
+	if got := out.count("Kind=request Lines=9960"); got != 1 || l.Dropped() != 9960 {
+		t.Errorf("what was left out is told %d times, counted %d; want once, 9960\n%s", got, l.Dropped(), out.text.String())
+	}
+}
+
+func TestABoundIsForEachSecond(t *testing.T) {
+	out := &output{}
+	now := time.Unix(1000, 0)
+	log, l := logging.New(out, slog.LevelInfo, "ilo-1", func() time.Time { return now })
+	for range 3 {
+		for range 30 {
+			log.With("Prefix", "p").Info("request")
+		}
+		now = now.Add(time.Second)
+	}
+	run(l)()
+	if got := out.count("msg=request"); got != 90 {
+		t.Errorf("%d of 90 lines within the bound", got)
+	}
+}
+
+func TestAReaderThatStopsHoldsUpNobody(t *testing.T) {
+	out := &output{blocked: make(chan struct{})}
+	log, l := logging.New(out, slog.LevelInfo, "ilo-1", time.Now)
+	stop := run(l)
+	began := time.Now()
+	for i := range 20_000 {
+		log.Info(fmt.Sprint("kind ", i%500))
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("20,000 lines took %v", took)
+	}
+	if l.Dropped() == 0 {
+		t.Error("no line was left out")
+	}
+	close(out.blocked)
+	stop()
+}
