A coordinator that was replaced can't find the store away any more

Six of eleven hosts were cut from the store, and during a compaction the watches of the others heard nothing for a second. The old coordinator, cut off, found then that two thirds had lost the store and granted keys for 10 s, after its successor had been told that this had not been so. Change: hosts tell with their contact the newest coordinator that they have heard of, and a coordinator's question tells of itself; hosts that know a newer one do not count for the old one's finding, and those that do not know the new one not for its own. An old coordinator that hears of a newer one stops at once. A lost history is an answer; first retries come soon. Ruled out: a late grant (the servers' entries show renewals of 10 s by the old coordinator until 13.6 s).

--- a/core/contact/contact.go
+++ b/core/contact/contact.go
@@ -1,5 +1,6 @@
 // Package contact tells since when an entry host has heard from the store without a break, and what that says of many hosts
-// together: whether the store is away for nearly all, and since when it can't have been.
+// together: to a coordinator, whether the store is away for nearly all, so that it has no successor, and to a new one, since
+// when no earlier coordinator can have found that.
 package contact
 
 import (
@@ -22,6 +23,14 @@
 type Contact struct {
 	// Since is when the host heard from the store first after the last break, and Last when it heard from it last.
 	Since, Last time.Time
+	// Coordinator is the revision of the newest coordinator that the host has heard of.
+	Coordinator int64
+}
+
+// WithCoordinator returns the contact of a host that has heard of a coordinator.
+func (c Contact) WithCoordinator(revision int64) Contact {
+	c.Coordinator = max(c.Coordinator, revision)
+	return c
 }
 
 // With returns the contact after a word from the store.
@@ -36,22 +45,24 @@
 // IsBroken reports whether the host has heard nothing for too long.
 func (c Contact) IsBroken(now time.Time) bool { return c.Last.IsZero() || now.Sub(c.Last) > breakAfter }
 
-// IsAway reports whether the store is away for nearly all of so many hosts, by the contacts of those that tell theirs.
-func IsAway(contacts []Contact, hosts int, now time.Time) bool {
+// IsAway reports to the coordinator of a revision whether the store is away for nearly all of so many hosts, by the contacts of
+// those that tell theirs. Hosts that have heard of a newer coordinator, or never from the store, do not count.
+func IsAway(contacts []Contact, hosts int, coordinator int64, now time.Time) bool {
 	broken := 0
 	for _, c := range contacts {
-		if c.IsBroken(now) {
+		if c.IsBroken(now) && !c.Last.IsZero() && c.Coordinator <= coordinator {
 			broken++
 		}
 	}
 	return hosts > 0 && float64(broken) >= awayPart*float64(hosts)
 }
 
-// SoundSince returns since when the store can't have been away in the sense of [IsAway], and whether anything is known of it.
-func SoundSince(contacts []Contact, hosts int, now time.Time) (time.Time, bool) {
+// SoundSince returns to the coordinator of a revision since when no earlier one can have found that the store was away, and
+// none will, and whether anything is known of it. It counts hosts that have heard of this coordinator.
+func SoundSince(contacts []Contact, hosts int, coordinator int64, now time.Time) (time.Time, bool) {
 	var sound []time.Time
 	for _, c := range contacts {
-		if !c.IsBroken(now) {
+		if !c.IsBroken(now) && c.Coordinator >= coordinator {
 			sound = append(sound, c.Since)
 		}
 	}
--- a/core/contact/contact_test.go
+++ b/core/contact/contact_test.go
@@ -32,22 +32,15 @@
 	}
 }
 
-// The store is never away at a time since when another coordinator is told that it can't have been, whatever hosts hear and
-// whoever reaches whom.
+// Once a new coordinator is told since when the store can't have been away, an earlier one has not found it away after that
+// time, and never does from then on, whatever hosts hear and whoever reaches whom.
 func TestAwayAndSoundExcludeEachOther(t *testing.T) {
+	const earlier, later = 10, 20
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := rapid.IntRange(1, 12).Draw(t, "hosts")
 		contacts := make([]contact.Contact, hosts)
 		var lastAway time.Time
-		reached := func(name string) []contact.Contact {
-			var some []contact.Contact
-			for i := range contacts {
-				if rapid.IntRange(0, 9).Draw(t, name) > 0 {
-					some = append(some, contacts[i])
-				}
-			}
-			return some
-		}
+		isSound := false
 		for step := range 120 {
 			now := at(float64(step) * 0.4)
 			reach := rapid.IntRange(0, 10).Draw(t, "reach")
@@ -56,12 +49,65 @@
 					contacts[i] = contacts[i].With(now)
 				}
 			}
-			if contact.IsAway(reached("old"), hosts, now) {
+			isElected := step > 60
+			var old, new []contact.Contact
+			for i := range contacts {
+				reached := rapid.IntRange(0, 7).Draw(t, "reached")
+				if reached < 7 {
+					old = append(old, contacts[i])
+				}
+				if isElected && reached > 0 {
+					contacts[i] = contacts[i].WithCoordinator(later)
+					new = append(new, contacts[i])
+				}
+			}
+			if contact.IsAway(old, hosts, earlier, now) {
 				lastAway = now
+				if isSound {
+					t.Fatalf("%v: away, after the new coordinator was told that it can't be", now.Sub(start))
+				}
 			}
-			if since, ok := contact.SoundSince(reached("new"), hosts, now); ok && !lastAway.IsZero() && lastAway.After(since) {
-				t.Fatalf("%v: sound since %v, but away at %v", now.Sub(start), since.Sub(start), lastAway.Sub(start))
+			if since, ok := contact.SoundSince(new, hosts, later, now); ok {
+				isSound = true
+				if !lastAway.IsZero() && lastAway.After(since) {
+					t.Fatalf("%v: sound since %v, but away at %v", now.Sub(start), since.Sub(start), lastAway.Sub(start))
+				}
 			}
 		}
 	})
 }
+
+func TestWhoCounts(t *testing.T) {
+	now := at(100)
+	hosts := func(n int, c contact.Contact) []contact.Contact {
+		var all []contact.Contact
+		for range n {
+			all = append(all, c)
+		}
+		return all
+	}
+	broken := contact.Contact{Since: at(1), Last: at(90), Coordinator: 5}
+	sound := contact.Contact{Since: at(1), Last: at(99.5), Coordinator: 5}
+	for _, c := range []struct {
+		name     string
+		contacts []contact.Contact
+		away     bool
+	}{
+		{"all have lost the store", hosts(9, broken), true},
+		{"two thirds have", append(hosts(6, broken), hosts(3, sound)...), true},
+		{"fewer have", append(hosts(5, broken), hosts(4, sound)...), false},
+		{"some have heard of a newer coordinator", append(hosts(5, broken), hosts(4, broken.WithCoordinator(6))...), false},
+		{"all have just started", hosts(9, contact.Contact{}), false},
+		{"too few tell", hosts(5, broken), false},
+	} {
+		if got := contact.IsAway(c.contacts, 9, 5, now); got != c.away {
+			t.Errorf("%s: away %v, want %v", c.name, got, c.away)
+		}
+	}
+	if _, ok := contact.SoundSince(hosts(9, sound), 9, 6, now); ok {
+		t.Error("sound by hosts that have not heard of the coordinator")
+	}
+	if since, ok := contact.SoundSince(append(hosts(4, broken), hosts(5, sound)...), 9, 5, now); !ok || !since.Equal(at(1)) {
+		t.Errorf("sound since %v, %v; want 1 s", since.Sub(start), ok)
+	}
+}
--- a/core/notice/contactasked.go
+++ b/core/notice/contactasked.go
@@ -1,6 +1,6 @@
 package notice
 
-// ContactAsked asks a host for its contact with the store.
-type ContactAsked struct{}
+// ContactAsked asks a host for its contact with the store, and tells it of the coordinator of a revision.
+type ContactAsked struct{ Coordinator int64 }
 
 func (ContactAsked) notice() {}
--- a/core/ownership/succession_test.go
+++ b/core/ownership/succession_test.go
@@ -67,6 +67,7 @@
 				o = o.WithSaved(each, order.Done, now)
 			case order.Grant:
 				o = o.WithGranted([]order.End{{ID: each.ID, Result: order.Done}}, now)
+			case order.Release: // nothing is released by a silent server
 			}
 		}
 	}
--- a/io/coordination/away.go
+++ b/io/coordination/away.go
@@ -18,17 +18,28 @@
 		c.isAway = false
 		return
 	}
+	if c.reign.revision == 0 {
+		return // the lease was lost before anything was decided
+	}
 	if now.Sub(c.contactsAt) >= contactsEvery {
 		c.contactsAt = now
-		c.peers.AskContacts()
+		c.peers.AskContacts(c.reign.revision)
 	}
 	contacts, hosts := c.peers.Contacts(), c.directory.Read().Len()
+	for _, each := range contacts {
+		if each.Coordinator > c.reign.revision {
+			c.log.Warn("another host is the coordinator", "Revision", each.Coordinator, "Own", c.reign.revision)
+			c.reign = reign{revision: c.reign.revision}
+			clear(c.services)
+			return
+		}
+	}
 	wasAway := c.isAway
-	c.isAway = isFailing && contact.IsAway(contacts, hosts, now)
+	c.isAway = isFailing && contact.IsAway(contacts, hosts, c.reign.revision, now)
 	if c.isAway != wasAway {
 		c.log.Info("store away for nearly all hosts", "IsAway", c.isAway, "Told", len(contacts), "Hosts", hosts)
 	}
-	since, isSound := contact.SoundSince(contacts, hosts, now)
+	since, isSound := contact.SoundSince(contacts, hosts, c.reign.revision, now)
 	for name, d := range c.services {
 		if !d.isLoaded {
 			continue
--- a/io/coordination/peers.go
+++ b/io/coordination/peers.go
@@ -6,7 +6,8 @@
 type Peers interface {
 	// IsSilent reports whether a host does not answer.
 	IsSilent(host string) bool
-	// AskContacts asks all hosts for their contact with the store, and Contacts returns what they told just now.
-	AskContacts()
+	// AskContacts tells all hosts of the coordinator of a revision and asks for their contact with the store, and Contacts
+	// returns what they told just now.
+	AskContacts(coordinator int64)
 	Contacts() []contact.Contact
 }
--- a/io/datagram/codec.go
+++ b/io/datagram/codec.go
@@ -75,10 +75,12 @@
 		w.code(codePong)
 	case notice.ContactAsked:
 		w.code(codeContactAsked)
+		w.signed(n.Coordinator)
 	case notice.ContactTold:
 		w.code(codeContactTold)
 		w.signed(int64(now.Sub(n.Contact.Since)))
 		w.signed(int64(now.Sub(n.Contact.Last)))
+		w.signed(n.Contact.Coordinator)
 	}
 	return w.bytes
 }
@@ -135,10 +137,10 @@
 	case codePong:
 		return notice.Pong{}
 	case codeContactAsked:
-		return notice.ContactAsked{}
+		return notice.ContactAsked{Coordinator: r.signed()}
 	case codeContactTold:
 		since, last := time.Duration(r.signed()), time.Duration(r.signed())
-		return notice.ContactTold{Contact: contact.Contact{Since: now.Add(-since), Last: now.Add(-last)}}
+		return notice.ContactTold{Contact: contact.Contact{Since: now.Add(-since), Last: now.Add(-last), Coordinator: r.signed()}}
 	}
 	return nil
 }
--- a/io/datagram/datagram_test.go
+++ b/io/datagram/datagram_test.go
@@ -30,8 +30,8 @@
 	notice.Held{Service: "s"},
 	notice.Ping{},
 	notice.Pong{},
-	notice.ContactAsked{},
-	notice.ContactTold{Contact: contact.Contact{Since: now.Add(-time.Hour), Last: now.Add(-time.Millisecond)}},
+	notice.ContactAsked{Coordinator: 1 << 40},
+	notice.ContactTold{Contact: contact.Contact{Since: now.Add(-time.Hour), Last: now.Add(-time.Millisecond), Coordinator: 7}},
 }
 
 func TestCodec(t *testing.T) {
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -43,6 +43,8 @@
 	// contact tells this host's contact with the store, and contacts gives, by address, that of others as told.
 	contact  func() contact.Contact
 	contacts sync.Map
+	// newest is the highest revision of a coordinator that another host told of.
+	newest atomic.Int64
 	// askedAt gives, by service, when another host last asked this one.
 	askedAt sync.Map
 }
@@ -193,7 +195,8 @@
 		d.send(from, notice.Pong{})
 	case notice.Pong:
 	case notice.ContactAsked:
-		d.send(from, notice.ContactTold{Contact: d.contact()})
+		d.hearOf(n.Coordinator)
+		d.send(from, notice.ContactTold{Contact: d.ownContact()})
 	case notice.ContactTold:
 		d.contacts.Store(from, told{contact: n.Contact, at: d.now()})
 	}
--- a/io/relay/constants.go
+++ b/io/relay/constants.go
@@ -19,7 +19,8 @@
 	confirmWait = time.Millisecond
 	// listLasts is how long a list counts as fresh: the watch that follows it tells more by then.
 	listLasts = 2 * time.Second
-	// ownPause is the average time between two tries of a host that others do not rely on, while the store fails everyone.
+	// ownPause is the average time between two tries of a host that others do not rely on, while the store fails everyone. The
+	// first tries come sooner, as those of a reader: a watch may fail that was alone.
 	ownPause = 2500 * time.Millisecond
 	// readerPause is the least time between two tries of a host that others rely on.
 	readerPause = 400 * time.Millisecond
--- a/io/relay/copied.go
+++ b/io/relay/copied.go
@@ -18,8 +18,9 @@
 	// confirmedAt is when the store itself, perhaps through another host, said that there was nothing newer, and before the
 	// same of the copy before: what is new in this one was written since then.
 	confirmedAt, before time.Time
-	// failedAt is when the store last failed this host.
+	// failedAt is when the store last failed this host, and failures how often in a row.
 	failedAt time.Time
+	failures int
 	// changed ends when the next copy is there.
 	changed chan struct{}
 }
@@ -48,7 +49,7 @@
 
 // withStore returns the copy as one that the store itself confirmed and that counts as fresh for a time.
 func (c copied) withStore(now time.Time, lasts time.Duration) copied {
-	c.readAt, c.lasts, c.failedAt = now, lasts, time.Time{}
+	c.readAt, c.lasts, c.failedAt, c.failures = now, lasts, time.Time{}, 0
 	return c.withConfirmation(now)
 }
 
@@ -69,5 +70,6 @@
 // withFailure returns the copy after the store failed this host.
 func (c copied) withFailure(now time.Time) copied {
 	c.readAt, c.failedAt = time.Time{}, now
+	c.failures++
 	return c
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -120,6 +120,9 @@
 		task.Sleep(ctx, rest)
 	}
 	changes, at, err := r.store.Watch(ctx, prefix, after, wait)
+	if isKind(err, kind.NotFound) { // the store has answered, and a list tells the rest
+		return nil, 0, err
+	}
 	r.keep(prefix, func(c copied) copied {
 		if err != nil {
 			return c.withFailure(r.now())
@@ -176,7 +179,8 @@
 	if r.isAsked() || len(first) == 0 || first[0].name == r.name {
 		return r.now().Sub(failedAt) < readerPause
 	}
-	return r.now().Sub(failedAt) < ownPause/2+rand.N(ownPause)
+	pause := min(readerPause<<min(r.copies[prefix].Read().failures, 8), ownPause)
+	return r.now().Sub(failedAt) < pause/2+rand.N(pause)
 }
 
 func errFailing() error {
