Electors that stall do not try to become the arbiter themselves, and reserved terms do not depose

A host that stalls just after it promised to follow a successor looks at its clock before it reads that successor's first word, finds the old arbiter silent for long enough and tries the next reserved term; members report it as a contender, and the elected arbiter, which has no lease while the platform is down, makes way. With four hosts of which one is lost all three must agree, so nobody leads. Change: a promise gives its candidate as much time as an arbiter's word; a contender under a term of the same reserved block has no lease either and deposes nobody. The driver's hosts may see their timer first when they go on after a pause.

--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -180,7 +180,7 @@
 
 // tick does what is due.
 func (a Arbiter) tick(now time.Time) (Arbiter, []effect.Effect) {
-	if c := a.contender(now); c > 0 && !a.hasLease(now) {
+	if c := a.contender(now); c > a.lastReserved() && !a.hasLease(now) {
 		return a.resign(now)
 	}
 	a, effects := a.callPlatform(now)
--- a/core/arbiter/beats.go
+++ b/core/arbiter/beats.go
@@ -8,6 +8,7 @@
 	"redwingsill/core/effect"
 	"redwingsill/core/message"
 	"redwingsill/core/permit"
+	"redwingsill/core/termrecord"
 )
 
 // take handles a member's report and answers it.
@@ -158,6 +159,12 @@
 	return append(names, a.name)
 }
 
+// lastReserved returns the highest term that was reserved with this one. Other successors may try those without the lease;
+// an arbiter that a majority follows does not make way for them.
+func (a Arbiter) lastReserved() int64 {
+	return a.term - (a.term-1)%termrecord.Block + termrecord.Block - 1
+}
+
 // contender returns the highest term of a candidate that a member has refused lately.
 func (a Arbiter) contender(now time.Time) int64 {
 	highest := int64(0)
--- a/core/candidate/succession.go
+++ b/core/candidate/succession.go
@@ -23,12 +23,12 @@
 }
 
 // canSucceed reports whether the host may take a term that the last arbiter reserved for it: the arbiter is silent, and
-// so is the platform.
+// so is the platform. A candidate that the host has promised to follow has as much time to be heard of.
 func (c Candidate) canSucceed(m member.Member, now time.Time) bool {
 	place := slices.Index(m.Successors(), c.name)
 	wait := c.timing.Silence + time.Duration(place)*2*c.timing.Stagger
 	isOut := c.failures >= 1 || len(c.pending) > 0 && now.Sub(c.sentAt) > c.timing.Stagger
-	return place >= 0 && isOut && !m.IsSilent(now) && now.Sub(m.BeatAt()) > wait &&
+	return place >= 0 && isOut && !m.IsSilent(now) && now.Sub(m.BeatAt()) > wait && now.Sub(m.PromisedAt()) > wait &&
 		m.Term() < c.reservedTerm(m, place)
 }
 
--- a/core/drive/drive_test.go
+++ b/core/drive/drive_test.go
@@ -103,3 +103,40 @@
 		}
 	}
 }
+
+// Hosts on a busy machine stall for parts of a second; here all do so that have just elected a lost arbiter's successor.
+var _ = It("serves every unit again within 5 s where the platform is down, the arbiter is lost and its electors stall", func() {
+	for seed := uint64(1); seed <= 20; seed++ {
+		d := newCell(4, 5, seed)
+		Expect(d.RunUntil(6*time.Second, allServed(d))).To(BeTrue())
+		d.Run(2 * time.Second)
+		d.SetPlatform(true, false)
+		d.Run(3 * time.Second)
+		lost := arbiterOf(d)
+		d.KillHost(lost)
+		began := d.Elapsed()
+		elected := ""
+		Expect(d.RunUntil(4*time.Second, func() bool {
+			for _, name := range d.Names() {
+				if _, ok := d.Host(name).Cell().Arbiter(); ok && name != lost {
+					elected = name
+				}
+			}
+			return elected != ""
+		})).To(BeTrue(), "seed %d", seed)
+		for _, name := range d.Names() {
+			if name != elected && name != lost {
+				d.PauseHost(name)
+			}
+		}
+		d.Run(time.Duration(400+20*seed) * time.Millisecond)
+		for _, name := range d.Names() {
+			if name != elected && name != lost {
+				d.ResumeHost(name)
+			}
+		}
+		d.RunUntil(8*time.Second, allServed(d))
+		Expect(d.Elapsed()-began).To(BeNumerically("<", 5*time.Second), "seed %d", seed)
+		Expect(d.Violations()).To(BeEmpty(), "seed %d", seed)
+	}
+})
--- a/core/drive/faults.go
+++ b/core/drive/faults.go
@@ -22,10 +22,13 @@
 // PauseHost stops a host's process without its knowledge; ResumeHost lets it go on.
 func (d *Drive) PauseHost(name string) { d.nodes[name].isPaused = true }
 
-// ResumeHost lets a paused host go on. What arrived meanwhile is waiting for it.
+// ResumeHost lets a paused host go on. What arrived meanwhile is waiting for it, and its timer may fire before it reads that.
 func (d *Drive) ResumeHost(name string) {
 	n := d.nodes[name]
 	n.isPaused = false
+	if d.random.IntN(2) == 0 {
+		d.step(n, event.Ticked{})
+	}
 	for _, e := range n.inbox {
 		d.step(n, e)
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -105,6 +105,9 @@
 // BeatAt returns when the member last had word from its arbiter.
 func (m Member) BeatAt() time.Time { return m.beatAt }
 
+// PromisedAt returns when the member last promised to follow a candidate.
+func (m Member) PromisedAt() time.Time { return m.promisedAt }
+
 // Stamp returns the versions that the member holds.
 func (m Member) Stamp() stamp.Stamp {
 	return stamp.Stamp{
