--- a/io/commandline/deployment_test.go
+++ b/io/commandline/deployment_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 	"redwingsill/core/configuration"
 	"redwingsill/core/hostentry"
 	"redwingsill/core/resource"
+	"redwingsill/io/standin/loopback"
 	"redwingsill/io/standin/run"
 )
 
@@ -237,9 +237,4 @@
 	return time.Since(began)
 }
 
-func free() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
+func free() string { return loopback.Address() }
--- /dev/null
+++ b/io/standin/loopback/loopback_test.go
@@ -0,0 +1,22 @@
+package loopback_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"redwingsill/io/standin/loopback"
+)
+
+func TestPortsAreFree(t *testing.T) {
+	for range 50 {
+		first := loopback.Pair()
+		for _, port := range []int{first, first + 1} {
+			l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+		}
+	}
+}
