--- a/core/kind/kind.go
+++ b/core/kind/kind.go
@@ -1,6 +1,8 @@
 // Package kind classifies failures so that callers can act on them without reading texts.
 package kind
 
+import "errors"
+
 // Kind is the class of a failure.
 type Kind string
 
@@ -14,3 +16,9 @@
 	Unknown     Kind = "Unknown"     // the call may or may not have taken effect
 	Full        Kind = "Full"        // a declared limit is reached
 )
+
+// Is reports whether an error, or one that it wraps, is a failure of a class.
+func Is(err error, k Kind) bool {
+	var failed interface{ IsKind(Kind) bool }
+	return errors.As(err, &failed) && failed.IsKind(k)
+}
--- a/io/coordination/orders.go
+++ b/io/coordination/orders.go
@@ -148,7 +148,7 @@
 	switch {
 	case err == nil:
 		return order.Done, written
-	case kindOf(err) != kind.Conflict:
+	case !kind.Is(err, kind.Conflict):
 		return order.Lost, 0
 	}
 	r, err := c.store.Get(ctx, registry.OwnersKey(name))
--- a/io/coordination/reign.go
+++ b/io/coordination/reign.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"redwingsill/core/kind"
@@ -85,7 +84,7 @@
 		defer cancel()
 		err := c.store.End(ctx, lease)
 		return func() {
-			if err != nil && kindOf(err) != kind.NotFound {
+			if err != nil && !kind.Is(err, kind.NotFound) {
 				c.log.Warn("lease not given up yet", "Error", err)
 				return
 			}
@@ -122,7 +121,7 @@
 		}
 		revision, err := c.store.Commit(ctx, transaction.Transaction{}.WithExpected(registry.Coordinator, instead).
 			WithPut(registry.Coordinator, value, lease))
-		if err != nil && kindOf(err) != kind.Conflict {
+		if err != nil && !kind.Is(err, kind.Conflict) {
 			// The answer may be lost: what the key holds tells.
 			if r, failed := c.store.Get(ctx, registry.Coordinator); failed == nil && registry.MarkOf(r.Value) == mark {
 				revision, err = r.Revision, nil
@@ -172,7 +171,7 @@
 				for _, d := range c.services {
 					d.state = d.state.WithLease(c.reign.until)
 				}
-			case kindOf(err) == kind.NotFound:
+			case kind.Is(err, kind.NotFound):
 				c.log.Warn("lease has ended", "Error", err)
 				c.reign = reign{revision: c.reign.revision}
 				c.absentAt = time.Time{}
@@ -182,13 +181,3 @@
 		}
 	})
 }
-
-func kindOf(err error) kind.Kind {
-	for _, k := range []kind.Kind{kind.Conflict, kind.NotFound, kind.Unavailable, kind.Unknown} {
-		var failed interface{ IsKind(kind.Kind) bool }
-		if errors.As(err, &failed) && failed.IsKind(k) {
-			return k
-		}
-	}
-	return kind.Unknown
-}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -79,8 +78,7 @@
 func (f *Follow) watch(ctx context.Context, after int64) (int64, error) {
 	changes, at, err := f.store.Watch(ctx, f.prefix, after, f.wait)
 	if err != nil {
-		var failed interface{ IsKind(kind.Kind) bool }
-		if errors.As(err, &failed) && failed.IsKind(kind.Unavailable) && ctx.Err() == nil {
+		if kind.Is(err, kind.Unavailable) && ctx.Err() == nil {
 			// The same place is tried again: the history may still be there, and a list costs more.
 			f.pause(ctx, err)
 			return after, nil
--- a/io/news/handler.go
+++ b/io/news/handler.go
@@ -58,11 +58,10 @@
 }
 
 func statusOf(err error) int {
-	var failed interface{ IsKind(kind.Kind) bool }
 	switch {
-	case errors.As(err, &failed) && failed.IsKind(kind.NotFound):
+	case kind.Is(err, kind.NotFound):
 		return http.StatusGone
-	case errors.As(err, &failed) && failed.IsKind(kind.Invalid):
+	case kind.Is(err, kind.Invalid):
 		return http.StatusBadRequest
 	}
 	return http.StatusServiceUnavailable
