Waits by task.Sleep, and one way to stop being the coordinator

Cause: reading the change once more. A wait that a context ends stood in io/forward and io/caller beside task.Sleep, which does the same; an overtaken coordinator was deposed by the same lines in two places. Change: both waits call task.Sleep; depose serves both places (the line of one now also has Own). Behaviour stays as it is, and no check has changed.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -20,6 +20,7 @@
 	"redwingsill/core/resource"
 	"redwingsill/core/snapshot"
 	"redwingsill/io/attribute"
+	"redwingsill/io/task"
 )
 
 const (
@@ -124,14 +125,7 @@
 	if ahead > maxAhead {
 		return false
 	}
-	timer := time.NewTimer(ahead)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return task.Sleep(ctx, ahead)
 }
 
 func rankOf(s *snapshot.Snapshot, name string) (resource.Rank, bool) {
--- a/io/coordination/away.go
+++ b/io/coordination/away.go
@@ -28,8 +28,7 @@
 	contacts, hosts := c.peers.Contacts(), c.directory.Read().Len()
 	for _, each := range contacts {
 		if each.Coordinator > c.reign.revision {
-			c.log.Warn("another host is the coordinator", "Revision", each.Coordinator, "Own", c.reign.revision)
-			c.reign = reign{revision: c.reign.revision}
+			c.depose(each.Coordinator)
 			clear(c.services)
 			return
 		}
--- a/io/coordination/reign.go
+++ b/io/coordination/reign.go
@@ -29,8 +29,7 @@
 	seen := c.registry.CoordinatorRevision()
 	switch {
 	case c.reign.isCoordinator && seen > c.reign.revision:
-		c.log.Warn("another host is the coordinator", "Revision", seen)
-		c.reign = reign{revision: c.reign.revision}
+		c.depose(seen)
 	case c.isResigning.Load():
 		if c.reign.isCoordinator && now.Sub(c.reign.triedAt) >= resignPause {
 			c.giveUp(now)
@@ -42,7 +41,7 @@
 	case c.reign.isCampaigning || !c.registry.IsWhole() || c.directory.Read().Len() == 0:
 	case seen != 0 && seen != c.reign.revision && c.directory.Read().Coordinator == c.name && c.reign.revision == 0:
 		// The entry is that of this host's life before: no one else needs to wait for the end of its lease.
-		if now.Sub(c.absentAt) >= 0 {
+		if !now.Before(c.absentAt) {
 			c.campaign(now, seen)
 		}
 	case seen != 0 && seen != c.reign.revision:
@@ -60,6 +59,12 @@
 	}
 }
 
+// depose ends this host's time as the coordinator, since one of a higher revision is there.
+func (c *Coordination) depose(by int64) {
+	c.log.Warn("another host is the coordinator", "Revision", by, "Own", c.reign.revision)
+	c.reign = reign{revision: c.reign.revision}
+}
+
 // check reads the entry of a coordinator that does not answer.
 func (c *Coordination) check(now time.Time) {
 	c.checkedAt = now
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -25,6 +25,7 @@
 	"redwingsill/core/weighted"
 	"redwingsill/io/dispatch"
 	"redwingsill/io/origin"
+	"redwingsill/io/task"
 )
 
 // Forward serves requests by what discovery and the configuration say. Its methods may be called at the same time.
@@ -144,14 +145,7 @@
 	if s.rounds >= mostRounds {
 		return false
 	}
-	timer := time.NewTimer(min(ownerPause<<min(s.rounds, 5), ownerPauseMost))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return task.Sleep(ctx, min(ownerPause<<min(s.rounds, 5), ownerPauseMost))
 }
 
 func (f *Forward) ask(s *served) ask.Ask {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -71,7 +71,7 @@
 	}
 	for _, one := range hosts.Read().First("news/a", n, func(string) bool { return false }) {
 		h := &host{name: one.Name, values: rcu.New(map[string]int64{})}
-		h.relay = relay.New(one.Name, "a", map[string]time.Duration{"p/": 0}, d.store.of(one.Name), d.wires.from(one.Name), hosts,
+		h.relay = relay.New(one.Name, "a", map[string]time.Duration{"p/": 0}, d.store.of(one.Name), d.wires, hosts,
 			time.Now, slog.New(slog.DiscardHandler))
 		d.wires.add(one.Name, one.Address, h.relay)
 		ctx, cancel := context.WithCancel(context.Background())
--- a/io/relay/wires_test.go
+++ b/io/relay/wires_test.go
@@ -49,8 +49,6 @@
 	w.silent[name] = true
 }
 
-func (w *wires) from(string) *wires { return w }
-
 func (w *wires) to(at netip.AddrPort) (*relay.Relay, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
