No port is given to two processes of one test

Change: a port that was given is not given again in a process. Before and after: TestNoPortIsGivenTwice fails without the change and passes with it.

--- a/io/standin/loopback/loopback.go
+++ b/io/standin/loopback/loopback.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 )
 
 const (
@@ -16,6 +17,9 @@
 	tries = 1000
 )
 
+// given has the ports that were returned, none of which is returned again: its process may not listen yet.
+var given sync.Map
+
 // Address returns an address with a free port. It panics where there is none, since no test can go on without.
 func Address() string { return fmt.Sprintf("127.0.0.1:%d", Pair()) }
 
@@ -23,7 +27,10 @@
 func Pair() int {
 	for range tries {
 		first := lowest + 2*rand.N((highest-lowest)/2)
-		if isFree(first) && isFree(first+1) {
+		if !isFree(first) || !isFree(first+1) {
+			continue
+		}
+		if _, isGiven := given.LoadOrStore(first, true); !isGiven {
 			return first
 		}
 	}
--- a/io/standin/loopback/loopback_test.go
+++ b/io/standin/loopback/loopback_test.go
@@ -20,3 +20,14 @@
 		}
 	}
 }
+
+func TestNoPortIsGivenTwice(t *testing.T) {
+	seen := map[int]bool{}
+	for range 600 {
+		first := loopback.Pair()
+		if seen[first] {
+			t.Fatalf("port %d was given twice", first)
+		}
+		seen[first] = true
+	}
+}
