--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -117,7 +117,7 @@
 			c.state = c.state.WithStoreUnreachable(m.now)
 		}
 		if !c.isCutOffFromStore && !m.isStoreDown {
-			c.state = c.state.WithMembers(m.members(), m.addresses(), m.now)
+			c.state = withListed(c.state, m.listed(), m.now)
 		}
 		state, commands := c.state.WithTick(m, m.now)
 		c.state = state
@@ -128,7 +128,7 @@
 	m.check()
 }
 
-func (m *model) members() []instance.Instance {
+func (m *model) listed() []instance.Instance {
 	var all []instance.Instance
 	for _, s := range m.servers {
 		if s.isListed {
@@ -138,14 +138,6 @@
 	return all
 }
 
-func (m *model) addresses() map[string]string {
-	all := map[string]string{}
-	for _, i := range m.members() {
-		all[i.Address] = i.Incarnation()
-	}
-	return all
-}
-
 // drawFault draws a fault, a repair or a new server, or nothing.
 func (m *model) drawFault() {
 	s := m.servers[rapid.IntRange(0, len(m.servers)-1).Draw(m.t, "server")]
--- a/core/ownership/succession_test.go
+++ b/core/ownership/succession_test.go
@@ -31,7 +31,7 @@
 // allows.
 func lastOldGrantEnd(storeDownUntil time.Time) time.Time {
 	keys, silent, other := twoOwners()
-	o := ownership.New(modelTiming, keys, 10, elected.Add(-time.Minute)).WithMembers([]instance.Instance{silent, other}, nil, elected.Add(-time.Minute))
+	o := withListed(ownership.New(modelTiming, keys, 10, elected.Add(-time.Minute)), []instance.Instance{silent, other}, elected.Add(-time.Minute))
 	var last time.Time
 	for now := elected.Add(-3 * time.Second); now.Before(elected.Add(40 * time.Second)); now = now.Add(20 * time.Millisecond) {
 		o = o.WithLease(elected)
@@ -59,7 +59,7 @@
 // time if that takes more than a minute.
 func silentServerMovedAt(withKnowledge func(ownership.Ownership) ownership.Ownership) time.Time {
 	keys, _, other := twoOwners()
-	o := withKnowledge(ownership.New(modelTiming, keys, 10, elected).WithMembers([]instance.Instance{other}, nil, elected))
+	o := withKnowledge(withListed(ownership.New(modelTiming, keys, 10, elected), []instance.Instance{other}, elected))
 	for now := elected; now.Before(elected.Add(time.Minute)); now = now.Add(20 * time.Millisecond) {
 		next, commands := o.WithLease(now.Add(lease)).WithTick(&model{now: now, load: keyload.New()}, now)
 		o = next
