Log why a range of keys is freed, and who acquires it

When two servers hold the same keys, the log did not tell why the coordinator had given the range on: only releases had a line. A range that is freed because its owner is taken to have ended, or because its grants have expired, had none; nor had the first grant that a new owner acknowledges, the finding that an incarnation has ended, or the time until which grants of earlier coordinators are reckoned with.

core/ownership records these as values of core/ownershipevent, and io/coordination logs them ("range freed", "range acquired", "backend server ended", "ownership resumed", "ownership not resumed", InheritedFor in "owners loaded" and "store not away before") and counts freed ranges by reason. No decision changes.

--- a/core/ownership/grantresults.go
+++ b/core/ownership/grantresults.go
@@ -6,6 +6,7 @@
 
 	"redwingsill/core/command"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/ownershipevent"
 )
 
 // withPendingGrant returns the state with one more grant call in flight to an incarnation of a backend server.
@@ -33,6 +34,9 @@
 		if m, ok := o.moves[g.keyRange]; ok && m.grantID == c.ID {
 			o = o.withFencingResult(g.keyRange, m, c.Result, now)
 		} else if r, ok := o.renewals[g.keyRange]; ok && r.id == c.ID {
+			if r.isUnacknowledged && c.Result == command.Done {
+				o = o.withEvent(ownershipevent.RangeAcquired{Range: g.keyRange, Owner: r.owner, PreviousOwner: r.previousOwner, Fence: r.fence})
+			}
 			o.renewals[g.keyRange] = r.withResult(c.Result, o.timing, now)
 			// Stale here means that an earlier coordinator raised the token for some of these keys before it failed.
 			// The keys are released and granted again under a higher token. The release can't be skipped, since the new
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -6,6 +6,7 @@
 
 	"redwingsill/core/command"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/ownershipevent"
 )
 
 // withFencingResult advances a move after the call that grants the old owner its range under a higher token.
@@ -40,6 +41,7 @@
 	m.releaseID = 0
 	if result == command.Done && m.stage == releasing {
 		m.stage, m.handover = freed, handover
+		o = o.withFreedEvent(r, m, ownershipevent.Released)
 	} else {
 		m.retryAt = now.Add(o.timing.RetryDelay)
 	}
@@ -65,7 +67,7 @@
 		m := o.moves[r]
 		o = o.withoutMove(r)
 		o.renewals = maps.Clone(o.renewals)
-		o.renewals[r] = renewal{owner: m.to, fence: m.toFence, handover: m.handover, acquiredAt: now, isUnacknowledged: true}
+		o.renewals[r] = renewal{owner: m.to, previousOwner: m.from, fence: m.toFence, handover: m.handover, acquiredAt: now, isUnacknowledged: true}
 	}
 	o.savingRanges = nil
 	return o
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -11,6 +11,7 @@
 	"redwingsill/core/instance"
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/ownershipevent"
 )
 
 // Ownership is the coordinator's state for one service. It is immutable.
@@ -58,6 +59,8 @@
 	balancedAt time.Time
 	// isDeposed is set once a write to the store has failed.
 	isDeposed bool
+	// events is what happened since the last WithoutEvents.
+	events []ownershipevent.Event
 }
 
 // New returns the state of a coordinator that starts at now, once it has been elected. The keys are the map as read
@@ -98,6 +101,10 @@
 	return o
 }
 
+// InheritedUntil returns when the last grant of earlier coordinators is certain to have expired, or the zero time if there
+// was no earlier coordinator.
+func (o Ownership) InheritedUntil() time.Time { return o.inheritedUntil }
+
 // HasInheritedGrants reports whether grants of an earlier coordinator may still be in force at now.
 func (o Ownership) HasInheritedGrants(now time.Time) bool { return now.Before(o.inheritedUntil) }
 
@@ -123,9 +130,13 @@
 		o.servers[m.Incarnation()] = s
 	}
 	for incarnation, s := range o.servers {
-		if _, ok := next[incarnation]; !ok && s.isReplaced(members, addresses) {
+		if _, ok := next[incarnation]; ok || s.hasEnded {
+			continue
+		}
+		if by := s.replacement(members, addresses); by != "" {
 			s.hasEnded = true
 			o.servers[incarnation] = s
+			o = o.withEvent(ownershipevent.ServerEnded{Server: incarnation, Address: s.instance.Address, By: by})
 		}
 	}
 	return o
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -5,6 +5,7 @@
 
 	"redwingsill/core/holding"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/ownershipevent"
 	"redwingsill/core/reshard"
 )
 
@@ -101,7 +102,8 @@
 func (o Ownership) withNewMove(r keyrange.Range, to string, now time.Time) Ownership {
 	held := o.keys.In(r)
 	if len(held) == 0 {
-		return o.withMove(r, move{to: to, stage: freed})
+		m := move{to: to, stage: freed}
+		return o.withMove(r, m).withFreedEvent(r, m, ownershipevent.NoOwner)
 	}
 	m := move{to: to, stage: releasing, from: held[0].Owner, fromFence: held[0].Fence}
 	m.isLateGrantPossible = o.mayBeGrantedLate(m.from, now)
--- a/core/ownership/renew.go
+++ b/core/ownership/renew.go
@@ -72,6 +72,7 @@
 			continue
 		}
 		next.handover, next.isUnacknowledged, next.acquiredAt = whole.handover, whole.isUnacknowledged, whole.acquiredAt
+		next.previousOwner = whole.previousOwner
 		if r.From <= part.From && r.To >= part.To {
 			next.sentAt = whole.sentAt
 		}
--- a/core/ownership/renewal.go
+++ b/core/ownership/renewal.go
@@ -10,11 +10,13 @@
 type renewal struct {
 	// id is the ID of the last grant call, which was sent at sentAt and has no result while isPending is set. If the call
 	// failed, sentAt is instead RenewInterval before the time of the retry.
-	id        int64
-	owner     string
-	fence     int64
-	sentAt    time.Time
-	isPending bool
+	id    int64
+	owner string
+	// previousOwner is the incarnation from which the range moved to owner, or empty if there was none.
+	previousOwner string
+	fence         int64
+	sentAt        time.Time
+	isPending     bool
 	// handover is the state that the previous owner passed on. It is sent until the owner acknowledges a grant.
 	handover string
 	// acquiredAt is when this coordinator moved the range to the owner, or the zero time if it didn't.
--- a/core/ownership/serverstate.go
+++ b/core/ownership/serverstate.go
@@ -56,15 +56,16 @@
 	return s
 }
 
-// isReplaced reports whether a later incarnation has the same ID, or another incarnation the same address.
-func (s serverState) isReplaced(members []instance.Instance, addresses map[string]string) bool {
+// replacement returns a later incarnation with the same ID, or another incarnation with the same address, or "" if there
+// is neither.
+func (s serverState) replacement(members []instance.Instance, addresses map[string]string) string {
 	if other, ok := addresses[s.instance.Address]; ok && other != s.instance.Incarnation() {
-		return true
+		return other
 	}
 	for _, m := range members {
 		if m.ID == s.instance.ID && m.StartMillis > s.instance.StartMillis {
-			return true
+			return m.Incarnation()
 		}
 	}
-	return false
+	return ""
 }
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -43,7 +43,7 @@
 	switch {
 	case s.hasEnded, !now.Before(o.mayHoldUntil(m.from)):
 		m.stage = freed
-		return o.withMove(r, m), commands
+		return o.withMove(r, m).withFreedEvent(r, m, o.unreleasedReason(m, now)), commands
 	case !known, m.grantID != 0, m.releaseID != 0, now.Before(m.retryAt):
 		return o, commands
 	}
--- a/io/coordination/commands.go
+++ b/io/coordination/commands.go
@@ -22,7 +22,8 @@
 					now := c.now()
 					service.state = ownership.New(c.timing, keys, fence, now).WithLease(c.tenure.leaseEnd)
 					service.revision, service.isLoaded, service.isStoreReachableSinceKnown, service.members = r.Revision, true, false, nil
-					c.log.Info("owners loaded", "Service", name, "Revision", r.Revision, "Holdings", len(keys.Holdings()), "Fence", fence)
+					c.log.Info("owners loaded", "Service", name, "Revision", r.Revision, "Holdings", len(keys.Holdings()), "Fence", fence,
+						"InheritedFor", remaining(service.state.InheritedUntil(), now))
 				}
 			}
 			err = decodeErr
@@ -47,10 +48,12 @@
 				return
 			}
 			if err != nil || r.Revision != revision {
+				c.log.Info("ownership not resumed", "Service", name, "Revision", r.Revision, "Own", revision, "Error", err)
 				delete(c.services, name)
 				return
 			}
 			service.state = service.state.WithLease(c.tenure.leaseEnd)
+			c.log.Info("ownership resumed", "Service", name, "Revision", revision, "InheritedFor", remaining(service.state.InheritedUntil(), c.now()))
 		}
 	})
 }
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -35,6 +35,7 @@
 	routing    *rcu.Value[routing.Routing]
 	slotServer *slotserver.SlotServer
 	peers      Peers
+	metrics    Metrics
 	now        func() time.Time
 	log        *slog.Logger
 	// group runs the calls to the store and to backend servers.
@@ -70,9 +71,9 @@
 // step early.
 func New(name, incarnation string, timing ownership.Timing, leaseDuration time.Duration, s Store, servers Servers, r *registry.Registry,
 	hosts *rcu.Value[directory.Directory], members *rcu.Value[roster.Roster], routes *rcu.Value[routing.Routing], slotServer *slotserver.SlotServer,
-	peers Peers, now func() time.Time, log *slog.Logger, changes chan struct{}) *Coordination {
+	peers Peers, metrics Metrics, now func() time.Time, log *slog.Logger, changes chan struct{}) *Coordination {
 	return &Coordination{hostName: name, writeIDPrefix: name + "/" + incarnation, timing: timing, leaseDuration: leaseDuration, store: s, servers: servers,
-		registry: r, directory: hosts, roster: members, routing: routes, slotServer: slotServer, peers: peers, now: now, log: log,
+		registry: r, directory: hosts, roster: members, routing: routes, slotServer: slotServer, peers: peers, metrics: metrics, now: now, log: log,
 		results: make(chan func(), resultBuffer), changes: changes, services: map[string]*shardedService{},
 		published: map[string]publishedKeys{}}
 }
--- a/io/coordination/services.go
+++ b/io/coordination/services.go
@@ -45,6 +45,7 @@
 	}
 	state, commands := service.state.WithTick(p, now)
 	service.state = state
+	c.reportEvents(name, service, now)
 	c.execute(name, service, commands)
 }
 
--- a/io/coordination/unreachable.go
+++ b/io/coordination/unreachable.go
@@ -54,7 +54,8 @@
 			service.isStoreReachableSinceKnown = true
 			service.state = service.state.WithStoreReachableSince(since)
 			// During For, no earlier coordinator can have found the store unreachable.
-			c.log.Info("store not away before", "Service", name, "For", now.Sub(since), "Told", len(records), "Hosts", hostCount)
+			c.log.Info("store not away before", "Service", name, "For", now.Sub(since), "Told", len(records), "Hosts", hostCount,
+				"InheritedFor", remaining(service.state.InheritedUntil(), now))
 		}
 	}
 }
--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -11,15 +11,18 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"redwingsill/core/attemptresult"
+	"redwingsill/core/ownershipevent"
 )
 
-// Metrics holds the Prometheus collectors of one host, and implements forward.Metrics. Its methods are safe for
+// Metrics holds the Prometheus collectors of one host, and implements forward.Metrics and
+// coordination.Metrics. Its methods are safe for
 // concurrent use.
 type Metrics struct {
 	registry        *prometheus.Registry
 	requestDuration *prometheus.HistogramVec
 	attempts        *prometheus.CounterVec
 	storeCalls      *prometheus.CounterVec
+	rangesFreed     *prometheus.CounterVec
 }
 
 // New returns metrics with their collectors registered.
@@ -33,8 +36,10 @@
 			Help: "Requests sent to backend servers, by service and result."}, []string{"service", "result"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_store_calls_total",
 			Help: "Calls to the store, by call and result."}, []string{"call", "result"}),
+		rangesFreed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_ranges_freed_total",
+			Help: "Key ranges that this host, as the coordinator, freed for a new owner, by service and reason."}, []string{"service", "reason"}),
 	}
-	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls)
+	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed)
 	return m
 }
 
@@ -59,6 +64,11 @@
 	m.storeCalls.WithLabelValues(call, result).Inc()
 }
 
+// CountFreedRange counts a key range of a service that the coordinator freed for a new owner, and why.
+func (m *Metrics) CountFreedRange(service string, reason ownershipevent.Reason) {
+	m.rangesFreed.WithLabelValues(service, reason.String()).Inc()
+}
+
 // Handler returns the handler that Prometheus scrapes. It serves one scrape at a time and answers others with status
 // 503.
 func (m *Metrics) Handler() http.Handler {
