Log the status of answers to grants and releases, and who gave them

A grant or release that another server refuses was logged as Invalid, like one that is malformed, so the log did not tell which server answers at an address. The calls now return a command.Answer with the status of the response and the ID that the answering server gives itself, and the lines "grant" and "release" carry both. No decision changes.

--- /dev/null
+++ b/core/command/answer.go
@@ -0,0 +1,12 @@
+package command
+
+// Answer is a backend server's answer to a [Grant] or a [Release].
+type Answer struct {
+	Result Result
+	// Status is the status code of the response, or 0 if there was none.
+	Status int
+	// Server is the ID that the answering server gave itself, or empty.
+	Server string
+	// Handover is the state that the server hands over to the next owner of released keys, or empty.
+	Handover string
+}
--- a/io/coordination/commands.go
+++ b/io/coordination/commands.go
@@ -84,19 +84,21 @@
 	c.startCall(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, deadline.Sub(c.now()))
 		defer cancel()
-		completions := make([]command.Completion, len(grants))
+		answers, completions := make([]command.Answer, len(grants)), make([]command.Completion, len(grants))
 		isUnreachable := false
 		for i, g := range grants {
-			completions[i] = command.Completion{ID: g.ID, Result: command.Unsent}
+			answers[i].Result = command.Unsent
 			if !isUnreachable {
-				completions[i].Result = c.servers.Grant(ctx, g)
-				isUnreachable = completions[i].Result == command.Lost || completions[i].Result == command.Unsent
+				answers[i] = c.servers.Grant(ctx, g)
+				isUnreachable = answers[i].Result == command.Lost || answers[i].Result == command.Unsent
 			}
+			completions[i] = command.Completion{ID: g.ID, Result: answers[i].Result}
 		}
 		return func() {
 			for i, g := range grants {
-				if completions[i].Result != command.Done {
-					c.log.Info("grant", "Service", name, "Server", g.To.ID, "Range", g.Range.String(), "Fence", g.Fence, "Result", completions[i].Result.String())
+				if a := answers[i]; a.Result != command.Done {
+					c.log.Info("grant", "Service", name, "Server", g.To.ID, "Range", g.Range.String(), "Fence", g.Fence, "Result", a.Result.String(),
+						"Status", a.Status, "Answering", a.Server)
 				}
 			}
 			service.completions = append(service.completions, completions...)
@@ -110,10 +112,11 @@
 	c.startCall(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, c.timing.LongestHold())
 		defer cancel()
-		result, handover := c.servers.Release(ctx, cmd)
+		a := c.servers.Release(ctx, cmd)
 		return func() {
-			c.log.Info("release", "Service", name, "Server", cmd.From.ID, "Range", cmd.Range.String(), "Fence", cmd.Fence, "Result", result.String())
-			service.state = service.state.WithReleaseResult(cmd.ID, result, handover, c.now())
+			c.log.Info("release", "Service", name, "Server", cmd.From.ID, "Range", cmd.Range.String(), "Fence", cmd.Fence, "Result", a.Result.String(),
+				"Status", a.Status, "Answering", a.Server)
+			service.state = service.state.WithReleaseResult(cmd.ID, a.Result, a.Handover, c.now())
 		}
 	})
 }
--- a/io/coordination/servers.go
+++ b/io/coordination/servers.go
@@ -9,8 +9,7 @@
 // Servers sends commands to backend servers.
 type Servers interface {
 	// Grant grants a range of keys to a backend server, or renews the grant.
-	Grant(ctx context.Context, g command.Grant) command.Result
-	// Release asks a backend server to give up a range of keys. It returns when the work on them has ended, with the state
-	// that the server hands over to the next owner.
-	Release(ctx context.Context, r command.Release) (command.Result, string)
+	Grant(ctx context.Context, g command.Grant) command.Answer
+	// Release asks a backend server to give up a range of keys. It returns when the work on them has ended.
+	Release(ctx context.Context, r command.Release) command.Answer
 }
