Take a backend server's end only from an answer at its address

Cause: the coordinator took an incarnation that discovery did not list for ended as soon as another one was listed at its address, or one with its ID and a later start. Entries say what was written, not what runs: an earlier life's entry comes back after a cut, a live server's entry expires while it is cut off from the store, and start times come from clocks that step. The keys of such a live owner were freed at once, without a release and whatever hold it still had. The same holds for the other direction: a call goes to an address, so a later life under the same ID may have taken grants that named the earlier one.

Change: an incarnation has ended if another backend server answers a command at the address where the incarnation answered before. One process answers at an address at a time, and an owner has run before it is asked, so whoever else answers has come after it. Discovery's list no longer ends anyone; without such an answer a range is freed by a release or when its last grant has expired. An incarnation at whose address another one answers gets no keys and no renewals, so an entry of an earlier life attracts none.

--- a/core/command/result.go
+++ b/core/command/result.go
@@ -13,12 +13,13 @@
 	Lost
 	// Unsent: the command did not reach the backend server.
 	Unsent
-	// Invalid: the backend server rejected the command, for example as malformed, or another server answered at its
-	// address.
+	// Invalid: the backend server rejected the command, for example as malformed.
 	Invalid
+	// Replaced: another backend server answered at the address and did not carry out the command.
+	Replaced
 )
 
-var resultNames = [...]string{"Done", "Stale", "Lost", "Unsent", "Invalid"}
+var resultNames = [...]string{"Done", "Stale", "Lost", "Unsent", "Invalid", "Replaced"}
 
 // String returns the name of the result, or "Unknown".
 func (r Result) String() string {
--- a/core/ownership/events.go
+++ b/core/ownership/events.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"redwingsill/core/command"
 	"redwingsill/core/keyrange"
 	"redwingsill/core/ownershipevent"
 )
@@ -31,6 +32,15 @@
 	return o.withEvent(freed)
 }
 
+// withEndedEvent records that an incarnation has ended, if that follows from the result of a call to the given address.
+func (o Ownership) withEndedEvent(incarnation string, result command.Result, address string) Ownership {
+	s := o.servers[incarnation]
+	if result != command.Replaced || s.answeredAt != address || s.hasEnded() {
+		return o
+	}
+	return o.withEvent(ownershipevent.ServerEnded{Server: incarnation, Address: address})
+}
+
 // unreleasedReason returns why a range that its owner did not release is freed at now.
 func (o Ownership) unreleasedReason(m move, now time.Time) ownershipevent.Reason {
 	if now.Before(o.mayHoldUntil(m.from)) {
--- a/core/ownership/events_test.go
+++ b/core/ownership/events_test.go
@@ -21,13 +21,16 @@
 	events []ownershipevent.Event
 	// grantedUntil is the latest time until which a server whose clock is 2% slow holds keys.
 	grantedUntil time.Time
+	// replaced is the ID of a server at whose address another one answers, or empty.
+	replaced string
 }
 
 func newEventRun() *eventRun {
 	return &eventRun{state: ownership.New(modelTiming, keymap.New(), 0, elected), now: elected}
 }
 
-// run steps for d. All commands succeed, except that releases get no answer if isSilent is set.
+// run steps for d. All commands succeed, except those to the replaced server, and that releases get no answer if isSilent
+// is set.
 func (r *eventRun) run(d time.Duration, isSilent bool) {
 	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(20 * time.Millisecond) {
 		next, commands := r.state.WithLease(r.now.Add(lease)).WithTick(&model{now: r.now, load: keyload.New()}, r.now)
@@ -36,10 +39,16 @@
 			case command.Save:
 				next = next.WithSaveResult(c, command.Done, r.now)
 			case command.Grant:
+				if c.To.ID == r.replaced {
+					next = next.WithGrantResults([]command.Completion{{ID: c.ID, Result: command.Replaced}}, r.now)
+					continue
+				}
 				next = next.WithGrantResults([]command.Completion{{ID: c.ID, Result: command.Done}}, r.now)
 				r.grantedUntil = r.now.Add(modelTiming.CallTimeout + c.HoldTime*102/100)
 			case command.Release:
-				if !isSilent {
+				if c.From.ID == r.replaced {
+					next = next.WithReleaseResult(c.ID, command.Replaced, "", r.now)
+				} else if !isSilent {
 					next = next.WithReleaseResult(c.ID, command.Done, "", r.now)
 				}
 			}
@@ -71,7 +80,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newEventRun()
-			r.state = r.state.WithMembers([]instance.Instance{first}, nil, r.now)
+			r.state = r.state.WithMembers([]instance.Instance{first}, r.now)
 			r.run(2*time.Second, false)
 			started := r.take()
 			if !slices.Contains(started, ownershipevent.Event(ownershipevent.RangeFreed{Range: all, Reason: ownershipevent.NoOwner})) ||
@@ -79,7 +88,7 @@
 				t.Fatalf("the first owner's events are %+v", started)
 			}
 			granted := r.grantedUntil
-			r.state = r.state.WithMembers(c.members, nil, r.now)
+			r.state = r.state.WithMembers(c.members, r.now)
 			r.run(10*time.Second, c.isSilent)
 			moved := r.take()
 			freed := slices.IndexFunc(moved, func(e ownershipevent.Event) bool {
@@ -102,20 +111,20 @@
 	}
 }
 
-func TestEventsTellThatAServerWasTakenToHaveEnded(t *testing.T) {
+func TestEventsTellThatAServerHasEnded(t *testing.T) {
 	first := instance.Instance{ID: "first", StartMillis: 1, Service: "s", Address: "10.0.0.1:80", Slots: 2}
 	next := instance.Instance{ID: "next", StartMillis: 2, Service: "s", Address: "10.0.0.1:80", Slots: 2}
 	r := newEventRun()
-	r.state = r.state.WithMembers([]instance.Instance{first}, nil, r.now)
+	r.state = r.state.WithMembers([]instance.Instance{first}, r.now)
 	r.run(2*time.Second, false)
 	r.take()
-	addresses := map[string]string{next.Address: next.Incarnation()}
-	r.state = r.state.WithMembers([]instance.Instance{next}, addresses, r.now).WithMembers([]instance.Instance{next}, addresses, r.now)
+	r.replaced = first.ID
+	r.state = r.state.WithMembers([]instance.Instance{next}, r.now).WithMembers([]instance.Instance{next}, r.now)
 	r.run(time.Second, true)
 	events := r.take()
 	ended := 0
 	for _, e := range events {
-		if e == (ownershipevent.ServerEnded{Server: "first@1", Address: first.Address, By: "next@2"}) {
+		if e == (ownershipevent.ServerEnded{Server: "first@1", Address: first.Address}) {
 			ended++
 		}
 	}
--- a/core/ownership/lives_test.go
+++ b/core/ownership/lives_test.go
@@ -20,14 +20,12 @@
 // withListed sets the members of service "s" from the entries that discovery lists for all services.
 func withListed(o ownership.Ownership, listed []instance.Instance, now time.Time) ownership.Ownership {
 	var members []instance.Instance
-	addresses := map[string]string{}
 	for _, i := range listed {
-		addresses[i.Address] = i.Incarnation()
 		if i.Service == "s" {
 			members = append(members, i)
 		}
 	}
-	return o.WithMembers(members, addresses, now)
+	return o.WithMembers(members, now)
 }
 
 // coordinatorRun drives the coordinator of one service on a clock of its own. Servers acknowledge grants at once and
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -19,7 +19,7 @@
 		// Retry with a higher token: a lost grant could still take effect after a later one with the same token.
 		m.stage, m.isLateGrantPossible = releasing, true
 		m.retryAt = now.Add(o.timing.RetryDelay)
-	case command.Unsent, command.Invalid:
+	case command.Unsent, command.Invalid, command.Replaced:
 		m.retryAt = now.Add(o.timing.RetryDelay)
 	}
 	return o.withMove(r, m)
@@ -28,17 +28,20 @@
 // WithReleaseResult applies the result of a release call. The handover is the state that the old owner passes to the
 // new one.
 func (o Ownership) WithReleaseResult(id int64, result command.Result, handover string, now time.Time) Ownership {
-	r, ok := o.pendingReleases[id]
+	call, ok := o.pendingReleases[id]
 	if !ok {
 		return o
 	}
 	o.pendingReleases = maps.Clone(o.pendingReleases)
 	delete(o.pendingReleases, id)
+	r := call.keyRange
 	m, ok := o.moves[r]
 	if !ok || m.releaseID != id {
 		return o
 	}
 	m.releaseID = 0
+	o = o.withEndedEvent(m.from, result, call.address)
+	o = o.withServer(m.from, o.servers[m.from].withCompletion(id, result, call.address))
 	if result == command.Done && m.stage == releasing {
 		m.stage, m.handover = freed, handover
 		o = o.withFreedEvent(r, m, ownershipevent.Released)
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -46,7 +46,7 @@
 	// capacities is how many requests of average duration each incarnation runs concurrently.
 	capacities      map[string]float64
 	pendingGrants   map[int64]pendingGrant
-	pendingReleases map[int64]keyrange.Range
+	pendingReleases map[int64]pendingRelease
 	// pendingSave is the ID of the write in flight, or 0, and savingRanges the ranges that it moves.
 	pendingSave  int64
 	savingRanges []keyrange.Range
@@ -69,7 +69,7 @@
 	o := Ownership{timing: t, keys: keys, lastFence: fence, reservedFence: fence, inheritedFence: fence,
 		settledAt: now.Add(t.SettleTime), startedAt: now,
 		members: map[string]instance.Instance{}, servers: map[string]serverState{}, renewals: map[keyrange.Range]renewal{},
-		moves: map[keyrange.Range]move{}, pendingGrants: map[int64]pendingGrant{}, pendingReleases: map[int64]keyrange.Range{}}
+		moves: map[keyrange.Range]move{}, pendingGrants: map[int64]pendingGrant{}, pendingReleases: map[int64]pendingRelease{}}
 	if fence > 0 {
 		o.inheritedUntil = now.Add(t.UnreachableRenewGrace + t.CallTimeout + t.LongestHold())
 	}
@@ -108,9 +108,8 @@
 // HasInheritedGrants reports whether grants of an earlier coordinator may still be in force at now.
 func (o Ownership) HasInheritedGrants(now time.Time) bool { return now.Before(o.inheritedUntil) }
 
-// WithMembers sets the service's backend servers from discovery. The addresses map each address, of any service, to the
-// incarnation that now has it.
-func (o Ownership) WithMembers(members []instance.Instance, addresses map[string]string, now time.Time) Ownership {
+// WithMembers sets the service's backend servers from discovery.
+func (o Ownership) WithMembers(members []instance.Instance, now time.Time) Ownership {
 	next := make(map[string]instance.Instance, len(members))
 	hasNewMember := false
 	for _, m := range members {
@@ -129,16 +128,6 @@
 		s.instance = m
 		o.servers[m.Incarnation()] = s
 	}
-	for incarnation, s := range o.servers {
-		if _, ok := next[incarnation]; ok || s.hasEnded {
-			continue
-		}
-		if by := s.replacement(members, addresses); by != "" {
-			s.hasEnded = true
-			o.servers[incarnation] = s
-			o = o.withEvent(ownershipevent.ServerEnded{Server: incarnation, Address: s.instance.Address, By: by})
-		}
-	}
 	return o
 }
 
@@ -220,6 +209,12 @@
 	return o
 }
 
+// canOwn reports whether keys may be given to an incarnation, and whether it may keep those that it has.
+func (o Ownership) canOwn(incarnation string) bool {
+	m, ok := o.members[incarnation]
+	return ok && !m.IsLeaving && !o.servers[incarnation].isReplaced()
+}
+
 // mayHoldUntil returns when the last grant to an incarnation is certain to have expired.
 func (o Ownership) mayHoldUntil(incarnation string) time.Time {
 	return latest(o.inheritedUntil, o.servers[incarnation].lastExpiry())
--- a/core/ownership/pendinggrant.go
+++ b/core/ownership/pendinggrant.go
@@ -6,4 +6,6 @@
 type pendingGrant struct {
 	owner    string
 	keyRange keyrange.Range
+	// address is the address to which the call was sent.
+	address string
 }
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -22,7 +22,7 @@
 	}
 	capacities := map[string]float64{}
 	for incarnation, m := range o.members {
-		if m.IsLeaving {
+		if !o.canOwn(incarnation) {
 			continue
 		}
 		capacity := float64(max(1, m.Slots))
@@ -61,20 +61,20 @@
 	return ranges
 }
 
-// hasOrphans reports whether any key has no owner, or one that is leaving or gone.
+// hasOrphans reports whether any key has no owner, or one that is leaving, gone or replaced.
 func (o Ownership) hasOrphans() bool {
 	for _, h := range o.keys.Holdings() {
-		if m, ok := o.members[h.Owner]; !ok || m.IsLeaving {
+		if !o.canOwn(h.Owner) {
 			return true
 		}
 	}
 	return len(o.keys.Gaps()) > 0
 }
 
-// isOrphan reports whether every key of the range has no owner, or one that is leaving or gone.
+// isOrphan reports whether every key of the range has no owner, or one that is leaving, gone or replaced.
 func (o Ownership) isOrphan(r keyrange.Range) bool {
 	for _, h := range o.keys.In(r) {
-		if m, ok := o.members[h.Owner]; ok && !m.IsLeaving {
+		if o.canOwn(h.Owner) {
 			return false
 		}
 	}
@@ -111,14 +111,14 @@
 }
 
 // withAvailableTarget returns the state with another target for a freed range, the member with the fewest keys, if the
-// planned one is leaving or gone.
+// planned one is leaving, gone or replaced.
 func (o Ownership) withAvailableTarget(r keyrange.Range, m move) Ownership {
-	if target, ok := o.members[m.to]; m.stage != freed || ok && !target.IsLeaving {
+	if m.stage != freed || o.canOwn(m.to) {
 		return o
 	}
 	fewest := ""
-	for incarnation, candidate := range o.members {
-		if candidate.IsLeaving {
+	for incarnation := range o.members {
+		if !o.canOwn(incarnation) {
 			continue
 		}
 		if fewest == "" || o.keys.KeyCount(incarnation) < o.keys.KeyCount(fewest) || o.keys.KeyCount(incarnation) == o.keys.KeyCount(fewest) && incarnation < fewest {
--- a/core/ownership/renew.go
+++ b/core/ownership/renew.go
@@ -20,7 +20,8 @@
 			if !ok || g.owner != h.Owner || g.fence != h.Fence {
 				g = o.derivedRenewal(part, h)
 			}
-			if to, known := o.members[g.owner]; known && g.isDue(o.timing, now) {
+			to, known := o.members[g.owner]
+			if known && !o.servers[g.owner].isReplaced() && g.isDue(o.timing, now) {
 				o, g.id = o.withNextID()
 				g.sentAt, g.isPending = now, true
 				sent[g.owner] = append(sent[g.owner], g.id)
@@ -39,7 +40,7 @@
 	}
 	for r, g := range next {
 		if g.isPending {
-			o.pendingGrants[g.id] = pendingGrant{owner: g.owner, keyRange: r}
+			o.pendingGrants[g.id] = pendingGrant{owner: g.owner, keyRange: r, address: o.servers[g.owner].instance.Address}
 		}
 	}
 	return o, commands
--- a/core/ownership/renewal.go
+++ b/core/ownership/renewal.go
@@ -32,7 +32,7 @@
 	switch result {
 	case command.Done:
 		r.handover, r.isUnacknowledged = "", false
-	case command.Lost, command.Unsent, command.Invalid:
+	case command.Lost, command.Unsent, command.Invalid, command.Replaced:
 		r.sentAt = now.Add(t.RetryDelay - t.RenewInterval)
 	case command.Stale:
 	}
--- a/core/ownership/serverstate.go
+++ b/core/ownership/serverstate.go
@@ -17,8 +17,20 @@
 	pending   map[int64]time.Time
 	// lateUntil is the latest expiry of a grant whose call was lost and that may still take effect.
 	lateUntil time.Time
-	// hasEnded is set once another incarnation is known to have replaced this one, which then holds no keys any more.
-	hasEnded bool
+	// answeredAt is the address at which the incarnation last answered a command, and replacedAt the one at which another
+	// backend server answered instead of it. Either is empty if there was none.
+	answeredAt string
+	replacedAt string
+}
+
+// hasEnded reports whether another backend server answers where this incarnation once did. It has then ended and holds
+// no keys. What discovery lists proves no end: entries of earlier incarnations may come back, and those of live ones may
+// expire.
+func (s serverState) hasEnded() bool { return s.replacedAt != "" && s.replacedAt == s.answeredAt }
+
+// isReplaced reports whether another backend server answers at the address that discovery lists for this incarnation.
+func (s serverState) isReplaced() bool {
+	return s.replacedAt != "" && s.replacedAt == s.instance.Address
 }
 
 // lastExpiry returns the latest expiry of any grant that was delivered or may have been, or the zero time.
@@ -41,31 +53,24 @@
 	return s
 }
 
-// withCompletion removes a grant call that has ended. Unless its result is Unsent, the expiry of its grant counts
-// towards heldUntil.
-func (s serverState) withCompletion(c command.Completion) serverState {
-	until, ok := s.pending[c.ID]
+// withCompletion removes a call to the given address that has ended, and records what its result tells about the
+// incarnation. The expiry of the grant counts towards heldUntil unless the incarnation did not receive it.
+func (s serverState) withCompletion(id int64, result command.Result, address string) serverState {
+	switch result {
+	case command.Done, command.Stale:
+		s.answeredAt, s.replacedAt = address, ""
+	case command.Replaced:
+		s.replacedAt = address
+	case command.Lost, command.Unsent, command.Invalid:
+	}
+	until, ok := s.pending[id]
 	if !ok {
 		return s
 	}
 	s.pending = maps.Clone(s.pending)
-	delete(s.pending, c.ID)
-	if c.Result != command.Unsent {
+	delete(s.pending, id)
+	if result != command.Unsent && result != command.Replaced {
 		s.heldUntil = latest(s.heldUntil, until)
 	}
 	return s
 }
-
-// replacement returns a later incarnation with the same ID, or another incarnation with the same address, or "" if there
-// is neither.
-func (s serverState) replacement(members []instance.Instance, addresses map[string]string) string {
-	if other, ok := addresses[s.instance.Address]; ok && other != s.instance.Incarnation() {
-		return other
-	}
-	for _, m := range members {
-		if m.ID == s.instance.ID && m.StartMillis > s.instance.StartMillis {
-			return m.Incarnation()
-		}
-	}
-	return ""
-}
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -41,7 +41,7 @@
 	}
 	s, known := o.serverOf(m.from)
 	switch {
-	case s.hasEnded, !now.Before(o.mayHoldUntil(m.from)):
+	case s.hasEnded(), !now.Before(o.mayHoldUntil(m.from)):
 		m.stage = freed
 		return o.withMove(r, m).withFreedEvent(r, m, o.unreleasedReason(m, now)), commands
 	case !known, m.grantID != 0, m.releaseID != 0, now.Before(m.retryAt):
@@ -64,7 +64,7 @@
 	}
 	m.releaseID = id
 	o.pendingReleases = maps.Clone(o.pendingReleases)
-	o.pendingReleases[id] = r
+	o.pendingReleases[id] = pendingRelease{keyRange: r, address: s.instance.Address}
 	commands = append(commands, command.Release{ID: id, From: s.instance, Range: r, Fence: m.fromFence})
 	return o.withMove(r, m), commands
 }
--- a/core/ownershipevent/serverended.go
+++ b/core/ownershipevent/serverended.go
@@ -1,12 +1,10 @@
 package ownershipevent
 
-// ServerEnded means that the coordinator takes an incarnation of a backend server to have ended.
+// ServerEnded means that another backend server answers at the address where an incarnation answered before.
 type ServerEnded struct {
-	Server string
-	// Address is where the incarnation was last known to be.
+	// Server is the incarnation that has ended.
+	Server  string
 	Address string
-	// By is the incarnation that has replaced it.
-	By string
 }
 
 func (ServerEnded) isEvent() {}
--- a/io/coordination/events.go
+++ b/io/coordination/events.go
@@ -19,7 +19,7 @@
 		case ownershipevent.RangeAcquired:
 			c.log.Info("range acquired", "Service", name, "Range", e.Range.String(), "Server", e.Owner, "Fence", e.Fence, "From", e.PreviousOwner)
 		case ownershipevent.ServerEnded:
-			c.log.Info("backend server ended", "Service", name, "Server", e.Server, "Address", e.Address, "By", e.By)
+			c.log.Info("backend server ended", "Service", name, "Server", e.Server, "Address", e.Address)
 		}
 	}
 	service.state = service.state.WithoutEvents()
--- a/io/coordination/services.go
+++ b/io/coordination/services.go
@@ -37,7 +37,7 @@
 	members := c.roster.Read().OfService(name)
 	if !slices.Equal(members, service.members) {
 		service.members = members
-		service.state = service.state.WithMembers(members, c.incarnationsByAddress(), now)
+		service.state = service.state.WithMembers(members, now)
 	}
 	if now.Sub(service.capacitiesAt) >= c.timing.WaitingInterval {
 		service.capacitiesAt = now
@@ -62,12 +62,3 @@
 	}
 	return all
 }
-
-// incarnationsByAddress returns the incarnation of the backend server at each address.
-func (c *Coordination) incarnationsByAddress() map[string]string {
-	all := map[string]string{}
-	for _, i := range c.roster.Read().All() {
-		all[i.Address] = i.Incarnation()
-	}
-	return all
-}
