Log ranges that are freed without a release as a kind of their own

The lines that matter when keys have two owners, of ranges that were freed without a release, now have a bound of their own.

--- a/io/coordination/events.go
+++ b/io/coordination/events.go
@@ -14,7 +14,11 @@
 			c.metrics.CountFreedRange(name, e.Reason)
 			// MayHoldFor is how long the owner may still hold the range, as far as its grants tell. It is negative if they have
 			// expired, and 0 if there were none.
-			c.log.Info("range freed", "Service", name, "Range", e.Range.String(), "Reason", e.Reason.String(), "Server", e.Owner, "Fence", e.Fence,
+			message := "range freed"
+			if e.Reason == ownershipevent.Expired || e.Reason == ownershipevent.OwnerEnded {
+				message = "range freed without release" // its own message, so that the more frequent ones don't use up its limit
+			}
+			c.log.Info(message, "Service", name, "Range", e.Range.String(), "Reason", e.Reason.String(), "Server", e.Owner, "Fence", e.Fence,
 				"MayHoldFor", remaining(e.MayHoldUntil, now))
 		case ownershipevent.RangeAcquired:
 			c.log.Info("range acquired", "Service", name, "Range", e.Range.String(), "Server", e.Owner, "Fence", e.Fence, "From", e.PreviousOwner)
