--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -54,7 +54,7 @@
 }
 
 // CountStoreCall counts a call to the platform's key-value store. The parameter call is the operation, and result is
-// "Done" or an error kind.
+// "Done" or an error kind, or "UnreadableItem" for an item that was left out of a response.
 func (m *Metrics) CountStoreCall(call, result string) {
 	m.storeCalls.WithLabelValues(call, result).Inc()
 }
