Don't start from owners that no coordinator can have saved

Two servers could have held the same keys. It also took holdings without an owner, beyond the last key or above the reserved token, and a reserved token of 2^63-1, whose successor is negative and refused by every server. Only a key that doesn't exist means that there were no owners; values may be cut short. Seen by tests; no caller has met it.

Such values are now an error, as those are that are not JSON: the coordinator doesn't act on them and other hosts keep the owners that they know.

After: it passes.

--- a/io/coordination/commands.go
+++ b/io/coordination/commands.go
@@ -4,8 +4,10 @@
 	"context"
 
 	"redwingsill/core/command"
+	"redwingsill/core/keymap"
 	"redwingsill/core/kind"
 	"redwingsill/core/ownership"
+	"redwingsill/core/record"
 	"redwingsill/core/transaction"
 	"redwingsill/io/registry"
 	"redwingsill/io/task"
@@ -16,7 +18,7 @@
 	c.startCall(func(ctx context.Context) func() {
 		r, err := c.store.Get(ctx, registry.OwnersKey(name))
 		if err == nil {
-			keys, fence, decodeErr := registry.DecodeOwners(r.Value)
+			keys, fence, decodeErr := ownersIn(r)
 			if decodeErr == nil {
 				return func() {
 					now := c.now()
@@ -36,6 +38,15 @@
 	})
 }
 
+// ownersIn returns the owners in the record of a service's key and the highest reserved fencing token, which is 0 if the key does not
+// exist.
+func ownersIn(r record.Record) (keymap.Map, int64, error) {
+	if r.Revision == 0 {
+		return keymap.New(), 0, nil
+	}
+	return registry.DecodeOwners(r.Value)
+}
+
 // resumeOwnership continues a service's state under a new lease of this host. It drops the state, so that the next step
 // loads it again, if the owners can't be read or another host has written them since.
 func (c *Coordination) resumeOwnership(name string, service *shardedService) {
--- a/io/registry/ownersdocument.go
+++ b/io/registry/ownersdocument.go
@@ -1,11 +1,17 @@
 package registry
 
 import (
+	"fmt"
+
 	"redwingsill/core/holding"
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
 )
 
+// maxFence is the highest valid fencing token, the highest integer that every JSON decoder reads exactly. It leaves room above it for
+// the tokens that a coordinator reserves.
+const maxFence = 1<<53 - 1
+
 // ownersDocument is the stored value that holds the owners of a service's key ranges.
 type ownersDocument struct {
 	Holdings []holdingDocument
@@ -23,3 +29,16 @@
 	}
 	return keymap.New(holdings...)
 }
+
+// check checks the values that a coordinator relies on: ranges of keys that exist, and tokens up to the reserved one.
+func (d ownersDocument) check() error {
+	if d.Fence <= 0 || d.Fence > maxFence {
+		return fmt.Errorf("the reserved fencing token is %d or missing, not from 1 to %d", d.Fence, maxFence)
+	}
+	for _, h := range d.Holdings {
+		if h.From < 0 || h.From > h.To || h.To > keyrange.MaxKey || h.Owner == "" || h.Fence <= 0 || h.Fence > d.Fence {
+			return fmt.Errorf("the holding of %d-%d by %.100q with the token %d is not possible", h.From, h.To, h.Owner, h.Fence)
+		}
+	}
+	return nil
+}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -80,15 +80,15 @@
 }
 
 // DecodeOwners returns the owners in a value, and the highest reserved fencing token, which is at least as high as
-// every one in use. An empty value has no owners and the token 0.
+// every one in use. It is an error if no coordinator can have written the value.
 func DecodeOwners(value []byte) (keymap.Map, int64, error) {
 	var d ownersDocument
-	if len(value) == 0 {
-		return keymap.New(), 0, nil
-	}
 	if err := json.Unmarshal(value, &d); err != nil {
 		return keymap.Map{}, 0, err
 	}
+	if err := d.check(); err != nil {
+		return keymap.Map{}, 0, err
+	}
 	return d.owners(), d.Fence, nil
 }
 
@@ -161,10 +161,13 @@
 }
 
 func (r *Registry) setOwners(service string, c record.Record) {
-	m, _, err := DecodeOwners(c.Value)
-	if err != nil {
-		r.log.Warn("invalid entry of owners", "Service", service, "Error", err)
-		return
+	m := keymap.New()
+	if !c.IsRemoved {
+		var err error
+		if m, _, err = DecodeOwners(c.Value); err != nil {
+			r.log.Warn("invalid entry of owners", "Service", service, "Revision", c.Revision, "Error", err)
+			return
+		}
 	}
 	r.owners.Update(func(old map[string]keymap.Map) map[string]keymap.Map {
 		next := maps.Clone(old)
