Pause before a service's owners are read again after a failure

Each host would have lost a part of its calls to the store, renewals of leases included: all hosts share a rate of reads, and a coordinator that can't read a service's owners, because the value is unreadable or the store refuses the call, read them again at once, some 270 times a second. A failed load dropped the service, and its result woke the next step, which loaded it again.

The failed call now ends after a pause of 250 ms.

--- a/io/coordination/commands.go
+++ b/io/coordination/commands.go
@@ -30,6 +30,7 @@
 			err = decodeErr
 		}
 		c.log.Warn("owners not loaded", "Service", name, "Error", err)
+		task.Sleep(ctx, loadRetryDelay)
 		return func() {
 			if c.services[name] == service {
 				delete(c.services, name) // the next step loads them again
--- a/io/coordination/constants.go
+++ b/io/coordination/constants.go
@@ -28,6 +28,8 @@
 	campaignRetryDelay = 250 * time.Millisecond
 	// reachabilityInterval is the shortest time between two requests to all hosts for their reachability records.
 	reachabilityInterval = 200 * time.Millisecond
+	// loadRetryDelay is the time after which a service's owners are read again if they could not be read.
+	loadRetryDelay = 250 * time.Millisecond
 	// saveRetryDelay is the time after which a write of a service's owners is retried if its result is unknown.
 	saveRetryDelay = 150 * time.Millisecond
 	// resignRetryDelay is the shortest time from the start of an attempt to revoke the lease to the next attempt.
