Don't list hosts whose entry gives no way to reach them

A host with such an entry would have ranked among the others: a host's entry of null, {} or with an absurd capacity was listed with no address, or before all others. Other hosts ask the top-ranked ones for slots of servers and for entries of the store, and count the known ones to learn for how many the store is unreachable. Values may be cut short or come from another writer; no host has met it.

An entry now needs an address, a data centre and a capacity of at most 65536 processors, and a host whose entry turns invalid stays as it was. Before: TestAHostThatCannotBeReachedIsNotListed, "\"null\": the hosts are [{Name:1 Address:invalid AddrPort ...} {Name:a Address:invalid AddrPort ...}], want a as before". After: it passes.

--- a/io/registry/hostdocument.go
+++ b/io/registry/hostdocument.go
@@ -1,6 +1,12 @@
 package registry
 
-import "net/netip"
+import (
+	"fmt"
+	"net/netip"
+)
+
+// maxCapacity is the highest valid capacity of a host, in processors.
+const maxCapacity = 1 << 16
 
 // hostDocument is the value of a host's key.
 type hostDocument struct {
@@ -10,3 +16,17 @@
 	// Capacity is the host's CPU limit, in processors.
 	Capacity float64
 }
+
+// check checks that other hosts can reach the host, and rank it among themselves.
+func (d hostDocument) check() error {
+	ip := d.Address.Addr()
+	switch {
+	case !d.Address.IsValid() || d.Address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast():
+		return fmt.Errorf("the address %v is not that of a host", d.Address)
+	case d.DataCentre == "":
+		return fmt.Errorf("the data centre is missing")
+	case d.Capacity < 0 || d.Capacity > maxCapacity:
+		return fmt.Errorf("the capacity is %v, not from 0 to %d", d.Capacity, maxCapacity)
+	}
+	return nil
+}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -145,14 +145,19 @@
 	r.directory.Update(func(d directory.Directory) directory.Directory { return d.WithCoordinator(name) })
 }
 
+// setHost updates the directory by a record of a host's key. A host whose entry turns invalid stays as it was.
 func (r *Registry) setHost(name string, c record.Record) {
 	if c.IsRemoved {
 		r.directory.Update(func(d directory.Directory) directory.Directory { return d.Without(name) })
 		return
 	}
 	var d hostDocument
-	if err := json.Unmarshal(c.Value, &d); err != nil {
-		r.log.Warn("invalid entry of a host", "Name", name, "Error", err)
+	err := json.Unmarshal(c.Value, &d)
+	if err == nil {
+		err = d.check()
+	}
+	if err != nil || name == "" {
+		r.log.Warn("invalid entry of a host", "Name", name, "Revision", c.Revision, "Error", err)
 		return
 	}
 	r.directory.Update(func(old directory.Directory) directory.Directory {
--- a/io/registry/unreadable_test.go
+++ b/io/registry/unreadable_test.go
@@ -1,12 +1,19 @@
 package registry_test
 
 import (
+	"bytes"
+	"log/slog"
+	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 
+	"redwingsill/core/directory"
 	"redwingsill/core/holding"
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/rcu"
+	"redwingsill/core/record"
 	"redwingsill/io/registry"
 )
 
@@ -51,3 +58,41 @@
 		}
 	}
 }
+
+// recordOf returns the record of a key with a value.
+func recordOf(key, value string, revision int64) record.Record {
+	return record.Record{Key: key, Value: []byte(value), Revision: revision}
+}
+
+func TestAHostThatCannotBeReachedIsNotListed(t *testing.T) {
+	hosts := rcu.New(directory.Directory{})
+	var logs bytes.Buffer
+	r := registry.New(hosts, func() {}, slog.New(slog.NewTextHandler(&logs, nil)))
+	sound := `{"Address":"10.0.0.1:7000","DataCentre":"ilo","Capacity":0.5}`
+	r.Apply([]record.Record{recordOf(registry.HostKey("a"), sound, 1)}, 1, true)
+	r.Apply([]record.Record{recordOf(registry.HostKey(""), sound, 1)}, 1, false)
+	for i, value := range []string{
+		"", "null", "{}", "[]", "{", `{"Address":"","DataCentre":"ilo","Capacity":1}`,
+		`{"Address":"10.0.0.1:0","DataCentre":"ilo","Capacity":1}`,
+		`{"Address":"10.0.0.1:65536","DataCentre":"ilo","Capacity":1}`,
+		`{"Address":"0.0.0.0:7000","DataCentre":"ilo","Capacity":1}`,
+		`{"Address":"224.0.0.1:7000","DataCentre":"ilo","Capacity":1}`,
+		`{"Address":"10.0.0.1:7000","DataCentre":"","Capacity":1}`,
+		`{"Address":"10.0.0.1:7000","DataCentre":"ilo","Capacity":1e300}`,
+		`{"Address":"10.0.0.1:7000","DataCentre":"ilo","Capacity":1e400}`,
+		`{"Address":"10.0.0.1:7000","DataCentre":"ilo","Capacity":-1}`,
+		`{"Address":"10.0.0.1:7000","DataCentre":"ilo","Capacity":"1"}`,
+		strings.Repeat("[", 1_000_000),
+		`{"Address":"` + strings.Repeat("9", 1<<20) + `"}`,
+	} {
+		revision := int64(2 + i)
+		r.Apply([]record.Record{recordOf(registry.HostKey("a"), value, revision), recordOf(registry.HostKey(strconv.Itoa(i)), value, revision)}, revision, false)
+		if all := hosts.Read().All(); len(all) != 1 || all[0].Name != "a" || all[0].Address != netip.MustParseAddrPort("10.0.0.1:7000") || all[0].Capacity != 0.5 {
+			t.Fatalf("%.100q: the hosts are %+v, want a as before", value, all)
+		}
+	}
+	r.Apply([]record.Record{recordOf(registry.HostKey("b"), sound, 100), {Key: registry.HostKey("a"), Revision: 101, IsRemoved: true}}, 101, false)
+	if all := hosts.Read().All(); len(all) != 1 || all[0].Name != "b" {
+		t.Errorf("the hosts are %+v after a valid entry and a removal, want b", all)
+	}
+}
