Bound the length of a log line

A process could have run out of memory: the queue of the log holds 512 lines of any length, and an error quotes the text that it could not parse. An invalid entry of a host with an address of a megabyte makes a line of a megabyte, which is written again for each change of the entry. Seen by tests; no host has met it.

A line is now cut at 16 KiB. Before: TestALongLineIsCut, "2 lines of 1048714 bytes, want two lines, the first of at most 16 KiB". After: it passes.

--- a/io/logging/writer.go
+++ b/io/logging/writer.go
@@ -13,6 +13,9 @@
 const (
 	// maxQueuedLines is the number of lines that may wait to be written, a few seconds of typical output.
 	maxQueuedLines = 512
+	// maxLineBytes bounds a line. Longer ones are cut and end in cutMark.
+	maxLineBytes = 16 << 10
+	cutMark      = "...\n"
 	// maxLinesPerSecond limits the lines with one message, because each line takes processor time from requests. The limit
 	// is per message, so that a flood of one message doesn't suppress the others.
 	maxLinesPerSecond = 40
@@ -43,8 +46,12 @@
 
 // Write implements io.Writer. It queues a copy of the line and never blocks; if the queue is full, it drops the line.
 func (w *Writer) Write(line []byte) (int, error) {
+	text := append([]byte(nil), line[:min(len(line), maxLineBytes)]...)
+	if len(line) > maxLineBytes {
+		text = append(text[:maxLineBytes-len(cutMark)], cutMark...)
+	}
 	select {
-	case w.queue <- append([]byte(nil), line...):
+	case w.queue <- text:
 	default:
 		w.dropped.Add(1)
 	}
--- a/io/logging/writer_test.go
+++ b/io/logging/writer_test.go
@@ -106,3 +106,16 @@
 	close(out.blocked)
 	stop()
 }
+
+// Errors quote what they could not read, which may be a megabyte, and the queue holds many lines.
+func TestALongLineIsCut(t *testing.T) {
+	out := &output{}
+	log, w := logging.New(out, slog.LevelInfo, "ilo-1", time.Now)
+	log.Info("long", "Error", strings.Repeat("x", 1<<20))
+	log.Info("short", "Error", "y")
+	run(w)()
+	lines := strings.Split(strings.TrimSuffix(out.text.String(), "\n"), "\n")
+	if len(lines) != 2 || len(lines[0]) > 16<<10 || !strings.HasSuffix(lines[0], "xxx...") || !strings.HasSuffix(lines[1], "Error=y") {
+		t.Errorf("%d lines of %d bytes, want two lines, the first of at most 16 KiB", len(lines), out.text.Len())
+	}
+}
