--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -80,15 +80,15 @@
 }
 
 // DecodeOwners returns the owners in a value, and the highest reserved fencing token, which is at least as high as
-// every one in use. An empty value has no owners and the token 0.
+// every one in use. It is an error if no coordinator can have written the value.
 func DecodeOwners(value []byte) (keymap.Map, int64, error) {
 	var d ownersDocument
-	if len(value) == 0 {
-		return keymap.New(), 0, nil
-	}
 	if err := json.Unmarshal(value, &d); err != nil {
 		return keymap.Map{}, 0, err
 	}
+	if err := d.check(); err != nil {
+		return keymap.Map{}, 0, err
+	}
 	return d.owners(), d.Fence, nil
 }
 
@@ -145,14 +145,19 @@
 	r.directory.Update(func(d directory.Directory) directory.Directory { return d.WithCoordinator(name) })
 }
 
+// setHost updates the directory by a record of a host's key. A host whose entry turns invalid stays as it was.
 func (r *Registry) setHost(name string, c record.Record) {
 	if c.IsRemoved {
 		r.directory.Update(func(d directory.Directory) directory.Directory { return d.Without(name) })
 		return
 	}
 	var d hostDocument
-	if err := json.Unmarshal(c.Value, &d); err != nil {
-		r.log.Warn("invalid entry of a host", "Name", name, "Error", err)
+	err := json.Unmarshal(c.Value, &d)
+	if err == nil {
+		err = d.check()
+	}
+	if err != nil || name == "" {
+		r.log.Warn("invalid entry of a host", "Name", name, "Revision", c.Revision, "Error", err)
 		return
 	}
 	r.directory.Update(func(old directory.Directory) directory.Directory {
@@ -161,10 +166,13 @@
 }
 
 func (r *Registry) setOwners(service string, c record.Record) {
-	m, _, err := DecodeOwners(c.Value)
-	if err != nil {
-		r.log.Warn("invalid entry of owners", "Service", service, "Error", err)
-		return
+	m := keymap.New()
+	if !c.IsRemoved {
+		var err error
+		if m, _, err = DecodeOwners(c.Value); err != nil {
+			r.log.Warn("invalid entry of owners", "Service", service, "Revision", c.Revision, "Error", err)
+			return
+		}
 	}
 	r.owners.Update(func(old map[string]keymap.Map) map[string]keymap.Map {
 		next := maps.Clone(old)
