Send a retry over another connection than the attempt it repeats

What callers saw: 503 "not run, try again" for a request that a backend server was running, or a request that may run once ran twice, when a faulty backend server wrote an earlier refusal once more on a kept connection.

Cause: io/origin matches a response to its request by the attempt ID. A request with a key is sent again to the key's owner after a refusal, and any request after "not the owner" (421), with the same ID and over the connection that was used last. The late copy of the first refusal then has the expected ID and passes for the response to the second send, while the server runs the request. Seen with 503 and 421, with and without a key, idempotent or not; a copy of a 500 passes for the success of the second attempt in the same way.

Change: a connection remembers the attempts whose response left room for a retry, and is not used for them again. If the limit of connections is reached by such idle connections, one of them is closed to make room.

Weighed: closing each connection after a refusal costs a new connection for each refusal under overload, when servers have least time for it; an ID of its own for each send is not possible, since the caller's ID is passed on unchanged; a list of used connections in the request relies on each sender, and does not cover a caller that repeats an ID. A connection remembers 32 attempts as hashes and is then closed, so at most one in 33 refusals costs a connection. Two attempts with the same hash only make one of them use another connection.

--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -40,7 +40,7 @@
 	newResult := func(status attemptresult.Status) attemptresult.AttemptResult {
 		return attemptresult.AttemptResult{Incarnation: to.Incarnation(), Status: status, Duration: c.now().Sub(began), Running: -1, Waiting: -1}
 	}
-	connection, err := c.conns.get(ctx, to.Address, limit)
+	connection, err := c.conns.get(ctx, to.Address, limit, func(known *conn) bool { return known.accepts(r.AttemptID) })
 	if err != nil {
 		var failed *Error
 		if ctx.Err() != nil || errors.As(err, &failed) && failed.Kind == kind.Full {
@@ -53,15 +53,8 @@
 	if !stop() {
 		err = errors.Join(err, ctx.Err())
 	}
-	switch {
-	case err != nil || ctx.Err() != nil:
-		connection.reset()
-	case response.closesConnection || connection.reader.Buffered() > 0:
-		connection.close()
-	default:
-		c.conns.put(connection, response.keepAlive)
-	}
 	if err != nil {
+		connection.reset()
 		switch {
 		case errors.Is(ctx.Err(), context.Canceled):
 			return nil, newResult(attemptresult.Left), err
@@ -71,6 +64,14 @@
 		return nil, newResult(attemptresult.Failed), err
 	}
 	status := c.classify(response, to)
+	if status != attemptresult.Answered && r.AttemptID != "" {
+		connection.recordFailure(r.AttemptID)
+	}
+	if response.closesConnection || connection.reader.Buffered() > 0 || len(connection.failedAttempts) > maxFailedAttempts {
+		connection.close()
+	} else {
+		c.conns.put(connection, response.keepAlive)
+	}
 	result := newResult(status)
 	result.Running, result.Waiting = parseLoad(response.Header.Get(c.headers.Load))
 	return response, result, nil
--- a/io/origin/client_test.go
+++ b/io/origin/client_test.go
@@ -221,3 +221,33 @@
 		Expect(result.Status).To(Equal(attemptresult.Answered))
 	})
 })
+
+var _ = Describe("a connection limit that idle connections reach", func() {
+	It("leaves room for an attempt that must not use the idle connection again", func() {
+		server := newFakeServer(response(503, "X-Not-Run: 1\r\n", ""), response(200, "", "over the same connection"))
+		c := newClient()
+		request := origin.Request{Method: http.MethodGet, Target: "/", Host: "a", AttemptID: "one", Header: http.Header{"X-Attempt": {"one"}},
+			Deadline: time.Now().Add(time.Second)}
+		for range 2 {
+			_, result, err := c.Send(context.Background(), server.instance, request, 1)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.Status).To(Equal(attemptresult.Refused)) // each connection's first response
+		}
+		Expect(server.conns).To(HaveLen(2))
+	})
+
+	It("keeps a connection that has refused other attempts, up to a number of them", func() {
+		var refusals []string
+		for range 100 {
+			refusals = append(refusals, response(503, "X-Not-Run: 1\r\n", ""))
+		}
+		server := newFakeServer(refusals...)
+		c := newClient()
+		for i := range 66 {
+			_, _, err := send(context.Background(), c, server, fmt.Sprint(i))
+			Expect(err).NotTo(HaveOccurred())
+			<-server.requests
+		}
+		Expect(server.conns).To(HaveLen(2))
+	})
+})
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -16,6 +18,9 @@
 	reader *bufio.Reader
 	// address is the dialled address, by which the pool keeps and counts the connection.
 	address string
+	// failedAttempts holds the hashes of the IDs of the attempts over this connection that may be sent again. Such an
+	// attempt must not use the connection again: a late copy of its earlier response would pass for the new one.
+	failedAttempts []uint64
 	// idleUntil is the time from which an idle connection must not be reused.
 	idleUntil time.Time
 	closeOnce sync.Once
@@ -23,6 +28,16 @@
 	onClose func()
 }
 
+// accepts reports whether the connection may carry the attempt with an ID.
+func (c *conn) accepts(attemptID string) bool {
+	return !slices.Contains(c.failedAttempts, xxhash.Sum64String(attemptID))
+}
+
+// recordFailure makes the connection refuse the attempt with an ID from now on.
+func (c *conn) recordFailure(attemptID string) {
+	c.failedAttempts = append(c.failedAttempts, xxhash.Sum64String(attemptID))
+}
+
 // abort makes pending and later reads and writes fail, by a deadline in the past.
 func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) } // fails only if the connection is already closed
 
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -22,6 +22,9 @@
 	// maxResponseReads bounds how many responses are read for one request, including skipped ones: interim responses and
 	// responses to earlier requests.
 	maxResponseReads = 4
+	// maxFailedAttempts bounds the attempts that a connection remembers as not to be sent over it again. With more, the
+	// connection is closed.
+	maxFailedAttempts = 32
 	// headCapacity is the initial capacity in bytes of the buffer for a request's head, which grows for a longer head.
 	headCapacity = 1024
 	// readBufferSize is the size in bytes of a connection's read buffer, which fits the head of a typical response.
--- a/io/origin/pool.go
+++ b/io/origin/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,11 +29,12 @@
 		idle: map[string][]*conn{}, open: map[string]int{}}
 }
 
-// get returns an idle connection to address, or opens one. It fails with [kind.Full] if limit connections are open, and
-// with [kind.Unavailable] if none can be opened.
-func (p *pool) get(ctx context.Context, address string, limit int) (*conn, error) {
+// get returns an idle connection to address that mayUse accepts, or opens one. If limit connections are open, it closes
+// an idle one to make room, and fails with [kind.Full] if there is none. It fails with [kind.Unavailable] if no
+// connection can be opened.
+func (p *pool) get(ctx context.Context, address string, limit int, mayUse func(*conn) bool) (*conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, mayUse)
 		if c == nil {
 			break
 		}
@@ -41,7 +43,14 @@
 		}
 		c.close()
 	}
-	if !p.reserve(address, limit) {
+	isReserved := p.reserve(address, limit)
+	if !isReserved {
+		if c := p.popIdle(address, func(*conn) bool { return true }); c != nil {
+			c.close()
+			isReserved = p.reserve(address, limit)
+		}
+	}
+	if !isReserved {
 		return nil, newError("connect to "+address, kind.Full, fmt.Errorf("all %d connections are in use", limit))
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
@@ -52,17 +61,18 @@
 	return &conn{Conn: raw, reader: newReader(raw), address: address, onClose: func() { p.release(address) }}, nil
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (p *pool) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection that mayUse accepts, or nil.
+func (p *pool) popIdle(address string, mayUse func(*conn) bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(idle) {
+		if mayUse(c) {
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return c
+		}
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	return c
+	return nil
 }
 
 // reserve adds a connection that is about to be opened to the count, and reports whether the limit allows it.
