Bound the bytes and the memory of a backend server's response

What callers saw: an entry host's memory grows with what a faulty backend server sends, up to the limit at which the process is killed and all its callers lose their requests.

Cause: http.ReadResponse bounds neither a status line nor a header field nor their number, and this holds for interim responses too. A body of known length was allocated in full before its first byte came, and each connection might buffer 16 MB. A body that was given up was closed, and net/http reads a body to its end at Close: at full speed up to the deadline. The body of a response to an earlier request was buffered only to be dropped.

Change: a reader below the buffer of the connection counts the bytes of a head (16 KB) and of a body with its chunk framing and trailers (32 MB) and fails beyond. The buffer of a body grows as bytes arrive; buffers over 64 KB share 24 MB among all responses that are being read, and a response that needs more fails. Bodies of responses to earlier requests are discarded unbuffered, and no body is closed. The time was bounded before: the deadline of the request, or the route's timeout, is that of the connection. In each case the attempt counts as one that may have run, so the caller gets 502 or a retry that is safe, never 503.

Ruled out: passing bodies on while they arrive would need no buffer, but an answer that breaks off could not be retried any more. Waiting for memory instead of failing lets slow servers hold each other up until their deadlines. A response that is complete no longer counts, though its body stays until the caller has read it.

--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -16,6 +16,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// bounded is what reader reads from.
+	bounded *boundedReader
 	// address is the dialled address, by which the pool keeps and counts the connection.
 	address string
 	// failedAttempts holds the hashes of the IDs of the attempts over this connection that may be sent again. Such an
@@ -28,6 +30,11 @@
 	onClose func()
 }
 
+func newConn(raw net.Conn, address string, onClose func()) *conn {
+	bounded := &boundedReader{from: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(bounded, readBufferSize), bounded: bounded, address: address, onClose: onClose}
+}
+
 // accepts reports whether the connection may carry the attempt with an ID.
 func (c *conn) accepts(attemptID string) bool {
 	return !slices.Contains(c.failedAttempts, xxhash.Sum64String(attemptID))
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -17,8 +17,21 @@
 	// maxInlineBody is the length in bytes up to which a request body is written before the response is read. Socket
 	// buffers hold that much; longer bodies are written in a goroutine.
 	maxInlineBody = 32 << 10
+	// maxResponseHead bounds a response's status line and header fields in bytes, since they are buffered in full.
+	maxResponseHead = 16 << 10
 	// maxResponseBody bounds a response body in bytes, since it is buffered in full.
 	maxResponseBody = 16 << 20
+	// maxEncodedBody bounds a response body with its chunk sizes, chunk extensions and trailers in bytes. Only a body in
+	// tiny chunks has as many bytes of framing as of content.
+	maxEncodedBody = 2 * maxResponseBody
+	// initialBody is the initial capacity in bytes of the buffer for a response body, which grows as bytes arrive.
+	initialBody = 16 << 10
+	// maxUncountedBody is the size in bytes up to which the buffer of a response body is not counted, so that short
+	// responses can be read however many long ones are.
+	maxUncountedBody = 64 << 10
+	// maxTotalBodies bounds the buffers of all response bodies that are being read, in bytes. It holds the longest body
+	// while its buffer grows for the last time.
+	maxTotalBodies = 24 << 20
 	// maxResponseReads bounds how many responses are read for one request, including skipped ones: interim responses and
 	// responses to earlier requests.
 	maxResponseReads = 4
--- /dev/null
+++ b/io/origin/endless_test.go
@@ -0,0 +1,173 @@
+package origin_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"redwingsill/core/attemptresult"
+	"redwingsill/core/instance"
+)
+
+const (
+	statusLine  = "HTTP/1.1 200 X\r\nX-Attempt: one\r\n"
+	chunkedHead = statusLine + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// endlessResponse is a response of which a part is repeated until the client closes the connection.
+type endlessResponse struct {
+	start, part string
+	// isNumbered puts a new number before each part, so that no two are the same.
+	isNumbered bool
+}
+
+var endlessResponses = map[string]endlessResponse{
+	"a status line":                 {start: "HTTP/1.1 200 ", part: "aaaaaaaa"},
+	"a header field":                {start: statusLine + "X-Long: ", part: "aaaaaaaa"},
+	"header fields of one name":     {start: statusLine, part: "X-Many: a\r\n"},
+	"header fields of many names":   {start: statusLine, part: ":\r\n", isNumbered: true},
+	"interim responses":             {part: "HTTP/1.1 103 X\r\nX-Interim: a\r\n\r\n"},
+	"the head of an interim answer": {start: "HTTP/1.1 103 X\r\n", part: "X-Many: a\r\n"},
+	"a body that ends at the close": {start: statusLine + "\r\n", part: strings.Repeat("a", 4096)},
+	"a body that is too long":       {start: statusLine + "Content-Length: 17000000\r\n\r\n", part: strings.Repeat("a", 4096)},
+	"a body of absurd length":       {start: statusLine + "Content-Length: 9000000000000000000\r\n\r\n", part: strings.Repeat("a", 4096)},
+	"chunks":                        {start: chunkedHead, part: "1000\r\n" + strings.Repeat("a", 4096) + "\r\n"},
+	"chunks of one byte":            {start: chunkedHead, part: "1\r\na\r\n"},
+	"chunk extensions":              {start: chunkedHead, part: "1;extension=" + strings.Repeat("a", 1000) + "\r\na\r\n"},
+	"a chunk extension":             {start: chunkedHead + "1;", part: "aaaaaaaa"},
+	"trailers":                      {start: chunkedHead + "0\r\n", part: "X-Many: a\r\n"},
+	"a response to another request": {start: strings.Replace(chunkedHead, "one", "earlier", 1), part: "1000\r\n" + strings.Repeat("a", 4096) + "\r\n"},
+}
+
+// endlessServer is a backend server that sends an endless response on each connection.
+type endlessServer struct {
+	instance instance.Instance
+	// sent counts the bytes written, and open the connections that the client has not closed.
+	sent, open atomic.Int64
+}
+
+// newEndlessServer starts a server. It pauses after each part if pause is above 0, and else sends the parts in blocks.
+func newEndlessServer(response endlessResponse, pause time.Duration) *endlessServer {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	s := &endlessServer{instance: instance.Instance{ID: "i-1", Address: listener.Addr().String()}}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, response, pause)
+		}
+	}()
+	return s
+}
+
+func (s *endlessServer) serve(c net.Conn, response endlessResponse, pause time.Duration) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	defer func() { _ = c.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	_, err := io.WriteString(c, response.start)
+	block := make([]byte, 0, 32<<10)
+	for i := 0; err == nil; {
+		block = block[:0]
+		for isFirst := true; isFirst || pause == 0 && len(block) < 16<<10; isFirst = false {
+			if i++; response.isNumbered {
+				block = strconv.AppendInt(block, int64(i), 36)
+			}
+			block = append(block, response.part...)
+		}
+		var n int
+		n, err = c.Write(block)
+		s.sent.Add(int64(n))
+		time.Sleep(pause)
+	}
+}
+
+// liveHeap returns the bytes of the heap that are in use after a garbage collection.
+func liveHeap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// maxLiveHeapWhile returns the largest live heap seen while the function runs.
+func maxLiveHeapWhile(run func()) int64 {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		run()
+	}()
+	for largest := int64(0); ; {
+		largest = max(largest, liveHeap())
+		select {
+		case <-done:
+			return largest
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+var _ = Describe("a response without end", func() {
+	for speed, pause := range map[string]time.Duration{"at full speed": 0, "slowly": 5 * time.Millisecond} {
+		It("is given up within the deadline and a bound of bytes "+speed, func() {
+			var sends sync.WaitGroup
+			for name, response := range endlessResponses {
+				server := newEndlessServer(response, pause)
+				sends.Go(func() {
+					defer GinkgoRecover()
+					began := time.Now()
+					got, result, err := send(context.Background(), newClient(), &fakeServer{instance: server.instance}, "one")
+					Expect(err).To(HaveOccurred(), name)
+					Expect(got).To(BeNil(), name)
+					Expect(result.Status).To(BeElementOf(attemptresult.Failed, attemptresult.TimedOut), name) // it may have run
+					Expect(time.Since(began)).To(BeNumerically("<", time.Second), name)
+					Eventually(server.open.Load).Should(BeZero(), name)
+					Expect(server.sent.Load()).To(BeNumerically("<", 48<<20), name)
+				})
+			}
+			sends.Wait()
+		})
+	}
+
+	It("leaves the memory flat beside 100 of them", func() {
+		var all []*endlessServer
+		for _, name := range slices.Sorted(maps.Keys(endlessResponses)) {
+			response := endlessResponses[name]
+			all = append(all, newEndlessServer(response, 0), newEndlessServer(response, time.Millisecond))
+		}
+		c := newClient()
+		before := liveHeap()
+		largest := maxLiveHeapWhile(func() {
+			var sends sync.WaitGroup
+			for i := range 100 {
+				sends.Go(func() {
+					_, result, _ := send(context.Background(), c, &fakeServer{instance: all[i%len(all)].instance}, "one")
+					if result.Status == attemptresult.Answered {
+						panic("an endless response was taken for a success")
+					}
+				})
+			}
+			sends.Wait()
+		})
+		Expect(largest - before).To(BeNumerically("<", 64<<20))
+	})
+})
--- a/io/origin/pool.go
+++ b/io/origin/pool.go
@@ -58,7 +58,7 @@
 		p.release(address)
 		return nil, newError("connect to "+address, kind.Unavailable, err)
 	}
-	return &conn{Conn: raw, reader: newReader(raw), address: address, onClose: func() { p.release(address) }}, nil
+	return newConn(raw, address, func() { p.release(address) }), nil
 }
 
 // popIdle removes and returns the most recently used idle connection that mayUse accepts, or nil.
