Make releases and fencing grants on connections of their own

What could happen: the coordinator takes a release for done while the old owner still holds the keys and works on them, with another release's handover, and grants the keys to a new owner: two servers hold the same keys. In the same way a fencing grant was taken for done that the server had refused, or had not applied yet.

So a response that a faulty server writes once more on a kept connection passes for the response to the next call, of whatever kind.

Change: a release and a fencing grant each take a new connection, which is closed after the response. Other grants share connections as before, but only after a 200: a late copy of "a higher token was seen" made the coordinator release and grant a range again. A late copy of a 200 for a renewal is corrected by the next renewal.

Weighed: a new connection for every call needs no distinction between grants. An ID in the calls is no use while the servers don't echo it.

Not covered: a renewal whose true response is late, behind a copy of an earlier one, counts as applied; a release in that short time could be processed before it.

Evidence: go test ./platform/grants, before: "the release ended as Done with the handover "another", want Done with the server's own", "the fencing grant ended as Done, want Stale as the server answered", "the grant ended as Stale, want Done as the server answered". After: passes, with -race.

--- a/core/command/grant.go
+++ b/core/command/grant.go
@@ -17,6 +17,9 @@
 	Fence int64
 	// HoldTime is how long the backend server holds the keys after the command arrives.
 	HoldTime time.Duration
+	// IsFencing is set if the grant raises the fencing token at the old owner of a range that is about to be released. The
+	// move relies on its result.
+	IsFencing bool
 	// Handover is the state that the previous owner passed on, or empty.
 	Handover string
 }
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -59,7 +59,7 @@
 	if o, id = o.withNextID(); m.stage == fencing {
 		m.grantID = id
 		o = o.withPendingGrant(id, r, m.from, now)
-		commands = append(commands, command.Grant{ID: id, To: s.instance, Range: r, Fence: m.fromFence, HoldTime: o.timing.HoldTime})
+		commands = append(commands, command.Grant{ID: id, To: s.instance, Range: r, Fence: m.fromFence, HoldTime: o.timing.HoldTime, IsFencing: true})
 		return o.withMove(r, m), commands
 	}
 	m.releaseID = id
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -45,6 +46,15 @@
 	c.failedAttempts = append(c.failedAttempts, xxhash.Sum64String(attemptID))
 }
 
+// isReusableAfter reports whether the connection can carry another request after a request and its response.
+func (c *conn) isReusableAfter(r Request, response *Response) bool {
+	if response.closesConnection || r.NeedsNewConnection || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts {
+		return false
+	}
+	// A late copy of a response without an attempt ID passes for the response to the next request.
+	return r.AttemptID != "" || response.Status == http.StatusOK
+}
+
 // abort makes pending and later reads and writes fail, by a deadline in the past.
 func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) } // fails only if the connection is already closed
 
--- a/io/origin/request.go
+++ b/io/origin/request.go
@@ -16,8 +16,13 @@
 	Header http.Header
 	Body   []byte
 	// AttemptID is the sender's ID of the request; retries by an entry host carry the same ID. It is sent only if Header
-	// holds it too. The response must echo it, or have no ID if AttemptID is empty.
+	// holds it too. The response must echo it, or have no ID if AttemptID is empty. In that case the connection is kept
+	// only after a response with status 200.
 	AttemptID string
+	// NeedsNewConnection makes the request go over a new connection, which is closed after the response. It is set if a
+	// late copy of an earlier response must not be taken for the response, and there is no attempt ID that tells them
+	// apart.
+	NeedsNewConnection bool
 	// Deadline is the time by which the response must be complete.
 	Deadline time.Time
 }
