Serve HEAD requests whose response has a Content-Length

What callers saw: 502 for a HEAD request if the backend server's response had a Content-Length, and "Content-Length: 0" in place of none.

Cause: io/origin read a body of the announced length, which a response to HEAD does not have, and io/ingress replaced the field by the length of the body that it had.

Change: a response to HEAD has no body, and its Content-Length is passed on. A HEAD request takes a new connection, which is closed afterwards: a late copy of a response to HEAD on a kept connection would be skipped with the body that its length announces, that is with bytes of the response to the next request, and the body of a late copy of a response to GET would be read as the head of the response to HEAD.

Evidence: before, go test ./io/forward -run Head: "the caller got 502 with the length "7", want 200 with "5"" and "the caller got 200 with the length "0", want 200 with """; go test ./io/origin: "the response body has bytes, more than". After: both pass, with -race.

--- a/io/forward/forwarder_test.go
+++ b/io/forward/forwarder_test.go
@@ -144,8 +144,9 @@
 	return frontEnd.URL
 }
 
-func post(t *testing.T, url, attemptID string) (int, string) {
-	r, err := http.NewRequest(http.MethodPost, url+"/a", nil)
+// send sends a request to a front end, and returns the status, the header and the body of the response.
+func send(t *testing.T, method, url, attemptID string) (int, http.Header, string) {
+	r, err := http.NewRequest(method, url+"/a", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -161,7 +162,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return response.StatusCode, string(body)
+	return response.StatusCode, response.Header, string(body)
 }
 
 func TestRepeatedRefusalIsNoResponseToTheRetry(t *testing.T) {
@@ -183,10 +184,31 @@
 		t.Run(fmt.Sprintf("%s, sharded %v, idempotent %v, retries %v", c.refusal, c.isSharded, c.isIdempotent, c.retries), func(t *testing.T) {
 			t.Parallel()
 			server := newRepeatingServer(t, refusals[c.refusal])
-			status, body := post(t, newFrontEnd(t, server.address, c.isSharded, c.isIdempotent, c.retries), "one")
+			status, _, body := send(t, http.MethodPost, newFrontEnd(t, server.address, c.isSharded, c.isIdempotent, c.retries), "one")
 			if runs := server.countRuns(); status != http.StatusOK || body != "ran" || runs != 1 {
 				t.Errorf("the caller got %d %q and the server ran the request %d times, want 200 \"ran\" and 1 run", status, body, runs)
 			}
 		})
 	}
 }
+
+func TestHeadResponseKeepsItsLength(t *testing.T) {
+	for _, length := range []string{"5", ""} {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			}
+		})}
+		t.Cleanup(func() { _ = server.Close() })
+		go func() { _ = server.Serve(listener) }() // ends when the server is closed
+		status, header, _ := send(t, http.MethodHead, newFrontEnd(t, listener.Addr().String(), false, true, 1), "one")
+		if status != http.StatusOK || header.Get("Content-Length") != length {
+			t.Errorf("the caller got %d with the length %q, want 200 with %q", status, header.Get("Content-Length"), length)
+		}
+	}
+}
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -115,7 +115,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if response != nil {
-		i.writeResponse(w, response)
+		i.writeResponse(w, r.Method, response)
 		return
 	}
 	switch failure := failure.(type) {
--- a/io/ingress/response.go
+++ b/io/ingress/response.go
@@ -10,18 +10,18 @@
 	"redwingsill/io/origin"
 )
 
-// writeResponse forwards a backend server's response to the caller.
-func (i *Ingress) writeResponse(w http.ResponseWriter, response *origin.Response) {
+// writeResponse forwards a backend server's response to a caller's request with the given method.
+func (i *Ingress) writeResponse(w http.ResponseWriter, method string, response *origin.Response) {
 	h := w.Header()
 	for name, values := range response.Header {
-		if !headers.IsHopByHop(name, response.Header["Connection"]) && name != "Content-Length" {
+		if !headers.IsHopByHop(name, response.Header["Connection"]) && (name != "Content-Length" || method == http.MethodHead) {
 			h[name] = values
 		}
 	}
 	if response.Header["Content-Type"] == nil {
 		h["Content-Type"] = nil // net/http would set a detected type otherwise
 	}
-	if response.Status >= http.StatusOK && response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
+	if method != http.MethodHead && response.Status >= http.StatusOK && response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	}
 	w.WriteHeader(response.Status)
--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -41,7 +41,7 @@
 	newResult := func(status attemptresult.Status) attemptresult.AttemptResult {
 		return attemptresult.AttemptResult{Incarnation: to.Incarnation(), Status: status, Duration: c.now().Sub(began), Running: -1, Waiting: -1}
 	}
-	connection, err := c.conns.get(ctx, to.Address, limit, func(idle *conn) bool { return !r.NeedsNewConnection && idle.accepts(r.AttemptID) })
+	connection, err := c.conns.get(ctx, to.Address, limit, func(idle *conn) bool { return !r.takesNewConnection() && idle.accepts(r.AttemptID) })
 	if err != nil {
 		var failed *Error
 		if ctx.Err() != nil || errors.As(err, &failed) && failed.Kind == kind.Full {
--- a/io/origin/client_test.go
+++ b/io/origin/client_test.go
@@ -171,6 +171,28 @@
 		Entry("whose Keep-Alive timeout is shorter than the margin", response(200, "Keep-Alive: timeout=1\r\n", "x")),
 	)
 
+	DescribeTable("returns the response to HEAD, which has a length but no body", func(length string) {
+		server := newFakeServer("HTTP/1.1 200 X\r\nX-Attempt: ATTEMPT\r\nContent-Length: " + length + "\r\n\r\n")
+		got, result, err := newClient().Send(context.Background(), server.instance, origin.Request{Method: http.MethodHead, Target: "/", Host: "a",
+			AttemptID: "one", Header: http.Header{"X-Attempt": {"one"}}, Deadline: time.Now().Add(time.Second)}, 4)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Status).To(Equal(attemptresult.Answered))
+		Expect(got.Body).To(BeEmpty())
+		Expect(got.Header.Get("Content-Length")).To(Equal(length))
+	}, Entry("a short one", "5"), Entry("a longer one than is read", "999999999"))
+
+	DescribeTable("shares no connection with a HEAD request, whose response has another length", func(methods ...string) {
+		server := newFakeServer(response(200, "", ""), response(200, "", ""))
+		c := newClient()
+		for i, method := range methods {
+			id := fmt.Sprint(i)
+			_, _, err := c.Send(context.Background(), server.instance, origin.Request{Method: method, Target: "/", Host: "a", AttemptID: id,
+				Header: http.Header{"X-Attempt": {id}}, Deadline: time.Now().Add(time.Second)}, 4)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(server.conns).To(HaveLen(2))
+	}, Entry("HEAD first", http.MethodHead, http.MethodGet), Entry("HEAD second", http.MethodGet, http.MethodHead))
+
 	It("detects before sending that the server has closed an idle connection", func() {
 		server := newFakeServer(response(200, "", "only one"))
 		c := newClient()
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -48,7 +48,7 @@
 
 // isReusableAfter reports whether the connection can carry another request after a request and its response.
 func (c *conn) isReusableAfter(r Request, response *Response) bool {
-	if response.closesConnection || r.NeedsNewConnection || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts {
+	if response.closesConnection || r.takesNewConnection() || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts {
 		return false
 	}
 	// A late copy of a response without an attempt ID passes for the response to the next request.
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -38,7 +38,11 @@
 		if encoding := response.Header.Get("Content-Encoding"); encoding != "" {
 			return nil, newError("read response body", kind.Unknown, fmt.Errorf("the response has the Content-Encoding %q", encoding))
 		}
-		body, err := c.bodies.read(response.Body, response.ContentLength)
+		length := response.ContentLength
+		if r.Method == http.MethodHead {
+			length = 0 // the announced one is that of the response to GET
+		}
+		body, err := c.bodies.read(response.Body, length)
 		if err != nil {
 			return nil, newError("read response body", kind.Unknown, err)
 		}
--- a/io/origin/request.go
+++ b/io/origin/request.go
@@ -26,3 +26,9 @@
 	// Deadline is the time by which the response must be complete.
 	Deadline time.Time
 }
+
+// takesNewConnection reports whether the request goes over a new connection, which is closed after the response. HEAD
+// requests do: the end of a late copy of a response can be found only if all requests have responses of the same form.
+func (r Request) takesNewConnection() bool {
+	return r.NeedsNewConnection || r.Method == http.MethodHead
+}
