Close connections whose server announces a Keep-Alive timeout of 0

What callers saw: 502 for a request that met the close of its connection.

Cause: 0 stood for "no timeout announced" as well, so the connection of a server that closes idle connections at once was kept for 4 s.

Change: a response without a valid timeout has the default one, and 0 is taken as it is.

Evidence: go test ./io/origin, before: "does not reuse a connection [It] whose Keep-Alive timeout is 0", "to have length 2". After: passes, with -race.

--- a/io/origin/client_test.go
+++ b/io/origin/client_test.go
@@ -169,6 +169,7 @@
 		Entry("with bytes after the response", response(200, "", "x")+"surplus"),
 		Entry("whose close the server announces", response(200, "Connection: close\r\n", "x")),
 		Entry("whose Keep-Alive timeout is shorter than the margin", response(200, "Keep-Alive: timeout=1\r\n", "x")),
+		Entry("whose Keep-Alive timeout is 0", response(200, "Keep-Alive: timeout=0\r\n", "x")),
 	)
 
 	DescribeTable("returns the response to HEAD, which has a length but no body", func(length string) {
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -9,8 +9,9 @@
 	// tcpUserTimeout is how long sent data may stay unacknowledged before the kernel closes the connection. It detects
 	// peers that have become unreachable.
 	tcpUserTimeout = 1200 * time.Millisecond
-	// defaultIdleTimeout is how long an idle connection is kept if the server sends no Keep-Alive timeout.
-	defaultIdleTimeout = 4 * time.Second
+	// defaultKeepAlive is the Keep-Alive timeout assumed of a server that sends none. An idle connection to it is kept for
+	// 4 s.
+	defaultKeepAlive = 4*time.Second + idleMargin
 	// idleMargin is subtracted from the server's Keep-Alive timeout, so that no request is sent while the server closes
 	// the connection.
 	idleMargin = 1500 * time.Millisecond
--- a/io/origin/pool.go
+++ b/io/origin/pool.go
@@ -95,12 +95,9 @@
 	}
 }
 
-// put returns a connection to the pool, which keeps it for keepAlive, the server's Keep-Alive timeout, less idleMargin,
-// or for [defaultIdleTimeout] if keepAlive is 0. If no time remains or the pool is closed, it closes the connection.
+// put returns a connection to the pool, which keeps it for keepAlive, the server's Keep-Alive timeout, less idleMargin.
+// If no time remains or the pool is closed, it closes the connection.
 func (p *pool) put(c *conn, keepAlive time.Duration) {
-	if keepAlive == 0 {
-		keepAlive = defaultIdleTimeout + idleMargin
-	}
 	c.idleUntil = p.now().Add(keepAlive - idleMargin)
 	p.mu.Lock()
 	keep := !p.closed && p.now().Before(c.idleUntil)
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -52,7 +52,7 @@
 	return nil, newError("match response to request", kind.Unknown, fmt.Errorf("none of %d responses is the final one to the request", maxResponseReads))
 }
 
-// parseKeepAlive returns the timeout parameter of a Keep-Alive header, or 0 if it has no valid one.
+// parseKeepAlive returns the timeout parameter of a Keep-Alive header, or defaultKeepAlive if it has no valid one.
 func parseKeepAlive(value string) time.Duration {
 	for _, part := range strings.Split(value, ",") {
 		if seconds, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
@@ -61,7 +61,7 @@
 			}
 		}
 	}
-	return 0
+	return defaultKeepAlive
 }
 
 // parseLoad returns the numbers of running and waiting requests from a load header, or -1 for each if it is missing or
--- a/io/origin/response.go
+++ b/io/origin/response.go
@@ -12,6 +12,6 @@
 	Body   []byte
 	// closesConnection is true if the connection must not be used for another request.
 	closesConnection bool
-	// keepAlive is the Keep-Alive timeout that the server sent, or 0.
+	// keepAlive is the server's Keep-Alive timeout.
 	keepAlive time.Duration
 }
