--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -23,6 +23,7 @@
 	headers headers.Names
 	now     func() time.Time
 	conns   *pool
+	bodies  bodyBudget
 }
 
 // New returns a client and a function that closes its idle connections. Deadlines are compared with now.
@@ -40,7 +41,7 @@
 	newResult := func(status attemptresult.Status) attemptresult.AttemptResult {
 		return attemptresult.AttemptResult{Incarnation: to.Incarnation(), Status: status, Duration: c.now().Sub(began), Running: -1, Waiting: -1}
 	}
-	connection, err := c.conns.get(ctx, to.Address, limit)
+	connection, err := c.conns.get(ctx, to.Address, limit, func(idle *conn) bool { return !r.takesNewConnection() && idle.accepts(r.AttemptID) })
 	if err != nil {
 		var failed *Error
 		if ctx.Err() != nil || errors.As(err, &failed) && failed.Kind == kind.Full {
@@ -53,15 +54,8 @@
 	if !stop() {
 		err = errors.Join(err, ctx.Err())
 	}
-	switch {
-	case err != nil || ctx.Err() != nil:
-		connection.reset()
-	case response.closesConnection || connection.reader.Buffered() > 0:
-		connection.close()
-	default:
-		c.conns.put(connection, response.keepAlive)
-	}
 	if err != nil {
+		connection.reset()
 		switch {
 		case errors.Is(ctx.Err(), context.Canceled):
 			return nil, newResult(attemptresult.Left), err
@@ -71,6 +65,14 @@
 		return nil, newResult(attemptresult.Failed), err
 	}
 	status := c.classify(response, to)
+	if status != attemptresult.Answered && r.AttemptID != "" {
+		connection.recordFailure(r.AttemptID)
+	}
+	if connection.isReusableAfter(r, response) {
+		c.conns.put(connection, response.keepAlive)
+	} else {
+		connection.close()
+	}
 	result := newResult(status)
 	result.Running, result.Waiting = parseLoad(response.Header.Get(c.headers.Load))
 	return response, result, nil
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -14,8 +17,13 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// bounded is what reader reads from.
+	bounded *boundedReader
 	// address is the dialled address, by which the pool keeps and counts the connection.
 	address string
+	// failedAttempts holds the hashes of the IDs of the attempts over this connection that may be sent again. Such an
+	// attempt must not use the connection again: a late copy of its earlier response would pass for the new one.
+	failedAttempts []uint64
 	// idleUntil is the time from which an idle connection must not be reused.
 	idleUntil time.Time
 	closeOnce sync.Once
@@ -23,6 +31,30 @@
 	onClose func()
 }
 
+func newConn(raw net.Conn, address string, onClose func()) *conn {
+	bounded := &boundedReader{from: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(bounded, readBufferSize), bounded: bounded, address: address, onClose: onClose}
+}
+
+// accepts reports whether the connection may carry the attempt with an ID.
+func (c *conn) accepts(attemptID string) bool {
+	return !slices.Contains(c.failedAttempts, xxhash.Sum64String(attemptID))
+}
+
+// recordFailure makes the connection refuse the attempt with an ID from now on.
+func (c *conn) recordFailure(attemptID string) {
+	c.failedAttempts = append(c.failedAttempts, xxhash.Sum64String(attemptID))
+}
+
+// isReusableAfter reports whether the connection can carry another request after a request and its response.
+func (c *conn) isReusableAfter(r Request, response *Response) bool {
+	if response.closesConnection || r.takesNewConnection() || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts {
+		return false
+	}
+	// A late copy of a response without an attempt ID passes for the response to the next request.
+	return r.AttemptID != "" || response.Status == http.StatusOK
+}
+
 // abort makes pending and later reads and writes fail, by a deadline in the past.
 func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) } // fails only if the connection is already closed
 
