Hash attempt IDs with the standard library

The package for hashes was only an indirect dependency. hash/maphash needs none, and its seed differs in each process, so no caller can choose IDs of equal hashes. Tests of io/origin and io/forward pass as before.

--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"hash/maphash"
 	"net"
 	"net/http"
 	"slices"
@@ -9,10 +10,12 @@
 	"syscall"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
+// attemptHashSeed is the seed of the hashes of attempt IDs.
+var attemptHashSeed = maphash.MakeSeed()
+
 // conn is a connection to a backend server with a buffered reader. It carries one request at a time.
 type conn struct {
 	net.Conn
@@ -38,12 +41,12 @@
 
 // accepts reports whether the connection may carry the attempt with an ID.
 func (c *conn) accepts(attemptID string) bool {
-	return !slices.Contains(c.failedAttempts, xxhash.Sum64String(attemptID))
+	return !slices.Contains(c.failedAttempts, maphash.String(attemptHashSeed, attemptID))
 }
 
 // recordFailure makes the connection refuse the attempt with an ID from now on.
 func (c *conn) recordFailure(attemptID string) {
-	c.failedAttempts = append(c.failedAttempts, xxhash.Sum64String(attemptID))
+	c.failedAttempts = append(c.failedAttempts, maphash.String(attemptHashSeed, attemptID))
 }
 
 // isReusableAfter reports whether the connection can carry another request after a request and its response.
