--- a/core/ownership/grantresults.go
+++ b/core/ownership/grantresults.go
@@ -6,12 +6,13 @@
 
 	"redwingsill/core/command"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/ownershipevent"
 )
 
 // withPendingGrant returns the state with one more grant call in flight to an incarnation of a backend server.
 func (o Ownership) withPendingGrant(id int64, r keyrange.Range, owner string, now time.Time) Ownership {
 	o.pendingGrants = maps.Clone(o.pendingGrants)
-	o.pendingGrants[id] = pendingGrant{owner: owner, keyRange: r}
+	o.pendingGrants[id] = pendingGrant{owner: owner, keyRange: r, address: o.servers[owner].instance.Address}
 	return o.withServer(owner, o.servers[owner].withPending(o.latestExpiry(o.timing.HoldTime, now), id))
 }
 
@@ -25,7 +26,8 @@
 			continue
 		}
 		delete(o.pendingGrants, c.ID)
-		s := o.servers[g.owner].withCompletion(c)
+		o = o.withEndedEvent(g.owner, c.Result, g.address)
+		s := o.servers[g.owner].withCompletion(c.ID, c.Result, g.address)
 		if c.Result == command.Lost {
 			s.lateUntil = latest(s.lateUntil, now.Add(o.timing.LongestHold()))
 		}
@@ -33,6 +35,9 @@
 		if m, ok := o.moves[g.keyRange]; ok && m.grantID == c.ID {
 			o = o.withFencingResult(g.keyRange, m, c.Result, now)
 		} else if r, ok := o.renewals[g.keyRange]; ok && r.id == c.ID {
+			if r.isUnacknowledged && c.Result == command.Done {
+				o = o.withEvent(ownershipevent.RangeAcquired{Range: g.keyRange, Owner: r.owner, PreviousOwner: r.previousOwner, Fence: r.fence})
+			}
 			o.renewals[g.keyRange] = r.withResult(c.Result, o.timing, now)
 			// Stale here means that an earlier coordinator raised the token for some of these keys before it failed.
 			// The keys are released and granted again under a higher token. The release can't be skipped, since the new
