Move the keys of a silent owner when its grants have expired

Callers: keys of a backend server that accepts connections and answers nothing, as a frozen process does, were served by no one for as long as it stayed silent, also long after its entry had ended.

Cause: a move whose old owner may still get a late grant first grants the range to that owner under a higher token. A grant without a response counts as taken, so each lost one extends the time until which the owner may hold the range, and is followed by the next one 250 ms later. That time is never reached. An earlier life's end by discovery's list cut it short in some cases; since ends are taken only from answers, nothing did.

Change: while the last command to the old owner got no response, the move asks it for a release instead, which extends no grant. If it answers, it is fenced and asked for the release again, as before; if it doesn't, the range is freed when the last grant has expired.

Evidence: TestKeysOfAnOwnerThatStopsAnsweringMoveWhenItsGrantsHaveExpired failed before ("the keys moved at 0001-01-01 00:00:00 +0000 UTC", none within a minute) and passes now. TestOwnerThatAnswersAgainIsFencedBeforeItsKeysMove passes before and after; it guards the token and the handover on the new path.

--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -42,8 +42,11 @@
 	m.releaseID = 0
 	o = o.withEndedEvent(m.from, result, call.address)
 	o = o.withServer(m.from, o.servers[m.from].withCompletion(id, result, call.address))
-	if result == command.Done && m.stage == releasing {
-		m.stage, m.handover = freed, handover
+	if result == command.Done && handover != "" {
+		m.handover = handover
+	}
+	if result == command.Done && m.stage == releasing && !m.isLateGrantPossible {
+		m.stage = freed
 		o = o.withFreedEvent(r, m, ownershipevent.Released)
 	} else {
 		m.retryAt = now.Add(o.timing.RetryDelay)
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -48,7 +48,8 @@
 		return o, commands
 	}
 	var id int64
-	if m.stage == releasing && m.isLateGrantPossible {
+	// Each lost grant would extend the time until which a silent server may hold its keys. It is asked for a release first.
+	if m.stage == releasing && m.isLateGrantPossible && !s.isSilent {
 		next, fence, ok := o.withNextFence()
 		if !ok {
 			return o, commands
