Release keys again if a grant of them was in flight

Callers: two backend servers hold the same keys (OWNER), if a server starts again under its ID and address while its keys move.

Cause: a move raises the token at the old owner before the release, so that grants in flight under lower ones are refused. A server that starts again has seen no tokens. A grant that was sent before the release and arrives after the restart is taken by the later incarnation, and the keys are already given to another server.

Change: a release during which a grant of any of its keys to the owner has no result frees nothing. The range is fenced and released again RetryDelay later, at whichever incarnation then runs at the address.

Evidence: TestKeysAreNotGivenOnWhileAGrantOfThemToTheirOwnerIsInFlight failed before ("the successor was granted keys while a grant of them to their owner was in flight") and passes now.

--- a/core/ownership/grantresults.go
+++ b/core/ownership/grantresults.go
@@ -16,6 +16,16 @@
 	return o.withServer(owner, o.servers[owner].withPending(o.latestExpiry(o.timing.HoldTime, now), id))
 }
 
+// isGrantInFlight reports whether a grant of any key of the range to an incarnation has no result yet.
+func (o Ownership) isGrantInFlight(owner string, r keyrange.Range) bool {
+	for _, g := range o.pendingGrants {
+		if g.owner == owner && g.keyRange.Overlaps(r) {
+			return true
+		}
+	}
+	return false
+}
+
 // WithGrantResults applies the results of grant calls. It takes a batch, so that the state's maps are copied once for
 // many results.
 func (o Ownership) WithGrantResults(completions []command.Completion, now time.Time) Ownership {
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -45,6 +45,8 @@
 	if result == command.Done && handover != "" {
 		m.handover = handover
 	}
+	// A grant in flight may reach a later incarnation with the same ID and address, which has seen no tokens.
+	m.isLateGrantPossible = m.isLateGrantPossible || o.isGrantInFlight(m.from, r)
 	if result == command.Done && m.stage == releasing && !m.isLateGrantPossible {
 		m.stage = freed
 		o = o.withFreedEvent(r, m, ownershipevent.Released)
