Test of a coordinator whose key is revoked before its lease ends

Two servers may hold the same keys: a new coordinator gives the keys of a server that it does not reach to another one while an earlier coordinator may still have renewed them.

New reckons that the lease of the earlier coordinator had ended at the election. If the store removes the coordinator's key before, the earlier coordinator counts on its lease for up to the whole of its duration, and on RenewGrace after that. It stops sooner only if it reaches the store or a host that knows of the new coordinator.

The other callers of lastOldGrantEnd pass the lease end that they had.

--- a/core/ownership/succession_test.go
+++ b/core/ownership/succession_test.go
@@ -25,16 +25,16 @@
 		holding.Holding{Range: keyrange.Range{From: 1000, To: keyrange.MaxKey}, Owner: other.Incarnation(), Fence: 2}), silent, other
 }
 
-// lastOldGrantEnd runs an old coordinator past the end of its store lease. Until storeDownUntil the coordinator finds
+// lastOldGrantEnd runs an old coordinator past leaseEnd, the end of its store lease. Until storeDownUntil the coordinator finds
 // the store unreachable. The result is the latest time until which the silent server, which only this coordinator
 // reaches, may hold keys: the last grant takes CallTimeout to arrive, and the server's clock is as slow as ClockSlack
 // allows.
-func lastOldGrantEnd(storeDownUntil time.Time) time.Time {
+func lastOldGrantEnd(leaseEnd, storeDownUntil time.Time) time.Time {
 	keys, silent, other := twoOwners()
 	o := withListed(ownership.New(modelTiming, keys, 10, elected.Add(-time.Minute)), []instance.Instance{silent, other}, elected.Add(-time.Minute))
 	var last time.Time
 	for now := elected.Add(-3 * time.Second); now.Before(elected.Add(40 * time.Second)); now = now.Add(20 * time.Millisecond) {
-		o = o.WithLease(elected)
+		o = o.WithLease(leaseEnd)
 		if !now.After(storeDownUntil) {
 			o = o.WithStoreUnreachable(now)
 		}
@@ -98,7 +98,7 @@
 		}, 9 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			held, moved := lastOldGrantEnd(elected.Add(c.storeDownUntil)), silentServerMovedAt(c.withKnowledge)
+			held, moved := lastOldGrantEnd(elected, elected.Add(c.storeDownUntil)), silentServerMovedAt(c.withKnowledge)
 			if held.Before(elected) || moved.Before(held) {
 				t.Errorf("moved %v after the election, but the old owner may hold the keys until %v after it", moved.Sub(elected), held.Sub(elected))
 			}
@@ -109,8 +109,19 @@
 	}
 }
 
+// The store may remove the old coordinator's key while the coordinator counts on its lease for a whole lease duration.
+func TestSilentOwnersKeysMoveAfterTheGrantsOfARevokedCoordinatorExpire(t *testing.T) {
+	held := lastOldGrantEnd(elected.Add(lease), elected.Add(-time.Hour))
+	moved := silentServerMovedAt(func(o ownership.Ownership) ownership.Ownership {
+		return o.WithStoreReachableSince(elected.Add(-time.Hour))
+	})
+	if held.Before(elected) || moved.Before(held) {
+		t.Errorf("moved %v after the election, but the old owner may hold the keys until %v after it", moved.Sub(elected), held.Sub(elected))
+	}
+}
+
 func TestGrantsAreLongOnlyWhileTheStoreIsUnreachable(t *testing.T) {
-	if short, long := lastOldGrantEnd(elected.Add(-time.Hour)), lastOldGrantEnd(elected.Add(20*time.Second)); short.Sub(elected) > 7500*time.Millisecond ||
+	if short, long := lastOldGrantEnd(elected, elected.Add(-time.Hour)), lastOldGrantEnd(elected, elected.Add(20*time.Second)); short.Sub(elected) > 7500*time.Millisecond ||
 		long.Sub(elected) < 20*time.Second {
 		t.Errorf("keys are held for %v after the store lease ends, and for %v after it while the store is unreachable; want 7.5 s at most and 20 s at least", short.Sub(elected), long.Sub(elected))
 	}
