Model reused addresses, wrong entries and other faults of the platform

Its model gives each server an entry that is right, delivers a call to the server that it names, and lets each coordinator know when the store was out.

The model can now draw further classes of faults, with a test for each and one for all: servers that start again at an address under the same ID or another; entries of ended servers that stay or come back, late entries, start times from clocks that step; servers of another service at an address; keys of coordinators that are revoked; coordinators that freeze, with calls that take up to CallTimeout; a store that is out for some hosts, with what core/reachability finds then; hosts that are elected again and go on with their state; writes that are delayed or whose answers are lost. No two starts under one ID report the same time: an entry without it names no server.

TestOneOwner keeps its events, counts and draws. One thing changes there: a write of a coordinator that does not reach the store is repeated once it does, as the real one does, rather than dropped.

--- /dev/null
+++ b/core/ownership/coordinator_test.go
@@ -0,0 +1,40 @@
+package ownership_test
+
+import (
+	"time"
+
+	"redwingsill/core/ownership"
+)
+
+// coordinator is a host that was elected, in its last term.
+type coordinator struct {
+	state ownership.Ownership
+	term  int
+	// revision is the revision of the store after the coordinator's last write, or at its election.
+	revision int64
+	isAlive  bool
+	// isCutOffFromStore is set once the coordinator can't reach the store. It may still reach servers.
+	isCutOffFromStore bool
+	// frozenUntil is the time until which the coordinator is stopped. answers are the results that arrived meanwhile.
+	frozenUntil time.Time
+	answers     []func()
+	// isBlindUntil is the time until which the coordinator doesn't see changes of discovery's list.
+	isBlindUntil time.Time
+	// host is the index of the coordinator's host, and leaseEnd the end of its lease as it knows it. reports has the last
+	// record that each host sent. isReachableSinceKnown is set once the coordinator knows since when the store has been
+	// reachable.
+	host                  int
+	leaseEnd              time.Time
+	reports               map[int]report
+	isReachableSinceKnown bool
+}
+
+func (c *coordinator) isFrozen(now time.Time) bool { return now.Before(c.frozenUntil) }
+
+// takeAnswers applies the results that arrived while the coordinator was frozen.
+func (c *coordinator) takeAnswers() {
+	for _, apply := range c.answers {
+		apply()
+	}
+	c.answers = nil
+}
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,9 +19,48 @@
 // TestOneOwner runs coordinators and backend servers under random faults and checks at every step that no key of
 // sampleKeys is held by two servers. Calls are lost, delayed by seconds or refused; servers are partitioned, killed and
 // restarted; coordinators are killed, or run on beside their successors without access to the store.
-func TestOneOwner(t *testing.T) {
+func TestOneOwner(t *testing.T) { checkOneOwner(t, faults{}) }
+
+func TestOneOwnerWhenAnAddressIsReused(t *testing.T) {
+	checkOneOwner(t, faults{reusesAddresses: true})
+}
+
+func TestOneOwnerWhenDiscoveryListsEndedServers(t *testing.T) {
+	checkOneOwner(t, faults{misleadsDiscovery: true})
+}
+
+func TestOneOwnerWhenAnotherServiceTakesAnAddress(t *testing.T) {
+	checkOneOwner(t, faults{startsOtherServices: true})
+}
+
+func TestOneOwnerWhenALeaseIsRevoked(t *testing.T) {
+	checkOneOwner(t, faults{revokesLeases: true})
+}
+
+func TestOneOwnerWhenACoordinatorFreezes(t *testing.T) {
+	checkOneOwner(t, faults{freezesCoordinators: true})
+}
+
+func TestOneOwnerWhenTheStoreIsOutForSomeHosts(t *testing.T) {
+	checkOneOwner(t, faults{cutsHosts: true})
+}
+
+func TestOneOwnerWhenAHostResumesItsTerm(t *testing.T) {
+	checkOneOwner(t, faults{resumesTerms: true})
+}
+
+func TestOneOwnerWhenSavesAreDelayed(t *testing.T) {
+	checkOneOwner(t, faults{delaysSaves: true})
+}
+
+func TestOneOwnerUnderAllFaults(t *testing.T) {
+	checkOneOwner(t, faults{reusesAddresses: true, misleadsDiscovery: true, startsOtherServices: true, revokesLeases: true,
+		freezesCoordinators: true, cutsHosts: true, resumesTerms: true, delaysSaves: true})
+}
+
+func checkOneOwner(t *testing.T, f faults) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t)
+		m := newModel(t, f)
 		for range 400 {
 			m.step()
 		}
@@ -37,6 +77,7 @@
 // model is a store, backend servers and every coordinator elected so far.
 type model struct {
 	t            *rapid.T
+	faults       faults
 	now          time.Time
 	servers      []*server
 	coordinators []*coordinator
@@ -51,48 +92,46 @@
 	isStoreDown bool
 	lastDown    time.Time
 	load        keyload.Load
-	// calls are the calls in flight.
+	// calls are the calls in flight, and saves the writes to the store.
 	calls []call
+	saves []save
 	// starts counts the servers started. It stands in for their start times.
 	starts int64
+	// hosts are the entry hosts, and isSilent is set for two of them while they don't reach each other.
+	hosts    []host
+	isSilent map[[2]int]bool
 }
 
-type coordinator struct {
-	state ownership.Ownership
-	term  int
-	// revision is the revision of the store after the coordinator's last write, or at its election.
-	revision int64
-	isAlive  bool
-	// isCutOffFromStore is set once the coordinator can't reach the store. It may still reach servers.
-	isCutOffFromStore bool
-}
-
-// call is a command in flight to a server.
-type call struct {
-	arrivesAt time.Time
-	from      *coordinator
-	// apply runs the command at the server, and answer passes the result to the coordinator. answer is nil once the
-	// coordinator was told that the call is lost.
-	apply  func() command.Result
-	answer func(command.Result)
-	// lost is set if the coordinator gets the result Lost, whatever the server's was.
-	lost bool
-	// delay is the time from the arrival of the call until it takes effect.
-	delay time.Duration
-}
-
-func newModel(t *rapid.T) *model {
-	m := &model{t: t, now: time.Unix(1_000_000, 0), load: keyload.New()}
+func newModel(t *rapid.T, f faults) *model {
+	m := &model{t: t, faults: f, now: time.Unix(1_000_000, 0), load: keyload.New(), isSilent: map[[2]int]bool{}}
+	if f.cutsHosts {
+		m.hosts = make([]host, rapid.IntRange(3, 8).Draw(t, "hosts"))
+	}
 	for i := range 4 {
-		m.start(fmt.Sprintf("s%d", i), fmt.Sprintf("10.0.0.%d:80", i))
+		m.start(fmt.Sprintf("s%d", i), "s", fmt.Sprintf("10.0.0.%d:80", i))
 	}
 	return m
 }
 
-func (m *model) start(id, address string) {
+// start starts a server, listed from now on.
+func (m *model) start(id, service, address string) *server {
 	m.starts++
-	m.servers = append(m.servers, &server{instance: instance.Instance{ID: id, StartMillis: m.starts, Service: "s", Address: address, Slots: 2},
-		isListed: true, isAlive: true, highestFence: map[int]int64{}, held: map[int]hold{}})
+	s := &server{instance: instance.Instance{ID: id, StartMillis: m.starts, Service: service, Address: address, Slots: 2},
+		isListed: true, isAlive: true, listedAt: m.now, highestFence: map[int]int64{}, held: map[int]hold{}}
+	if m.faults.misleadsDiscovery {
+		s.instance.StartMillis = m.drawStart(id)
+		if rapid.Bool().Draw(m.t, "entry late") {
+			s.listedFrom = m.now.Add(m.drawDelay(4000))
+		}
+	}
+	m.logf("%s started at %s for service %s", s.instance.Incarnation(), address, service)
+	m.servers = append(m.servers, s)
+	return s
+}
+
+// logf logs an event of the run.
+func (m *model) logf(format string, args ...any) {
+	m.t.Logf("%v "+format, append([]any{m.now.Sub(time.Unix(1_000_000, 0))}, args...)...)
 }
 
 // step advances the clock, completes calls, draws a fault, runs every coordinator once and checks the servers.
@@ -100,59 +139,107 @@
 	m.now = m.now.Add(time.Duration(rapid.IntRange(5, 150).Draw(m.t, "ms")) * time.Millisecond)
 	m.load = m.load.WithRequest(rapid.SampledFrom([]int{5, 6, 7, 40000, 40001, 65535}).Draw(m.t, "key"), m.now)
 	m.deliver()
-	m.drawFault()
+	if m.faults == (faults{}) {
+		m.drawFault()
+	} else {
+		m.drawFaults()
+		m.drawRepairs()
+	}
 	if m.isStoreDown {
 		m.lastDown = m.now
 	}
+	m.updateHosts()
 	m.elect()
+	m.completeSaves()
 	for _, c := range m.coordinators {
-		if !c.isAlive {
-			continue
-		}
-		if c.term == m.term && !c.isCutOffFromStore && !m.isStoreDown && m.now.Before(m.leaseUntil) {
-			m.leaseUntil = m.now.Add(lease)
-			c.state = c.state.WithLease(m.leaseUntil)
-		}
-		if m.isStoreDown && rapid.IntRange(0, 2).Draw(m.t, "detects outage") == 0 {
-			c.state = c.state.WithStoreUnreachable(m.now)
-		}
-		if !c.isCutOffFromStore && !m.isStoreDown {
-			c.state = withListed(c.state, m.listed(), m.now)
-		}
-		state, commands := c.state.WithTick(m, m.now)
-		c.state = state
-		for _, cmd := range commands {
-			m.execute(c, cmd)
+		if c.isAlive && !c.isFrozen(m.now) {
+			m.run(c)
+			c.isAlive = c.isAlive && (c.term == m.term || c.state.IsActing(m.now))
 		}
 	}
 	m.check()
 }
 
+// run runs one step of a coordinator.
+func (m *model) run(c *coordinator) {
+	c.takeAnswers()
+	if c.term == m.term && m.reachesStore(c) && m.now.Before(m.leaseUntil) {
+		m.leaseUntil = m.now.Add(lease)
+		c.leaseEnd = m.leaseUntil
+		c.state = c.state.WithLease(m.leaseUntil)
+	}
+	if m.faults.cutsHosts {
+		m.exchangeReports(c)
+		if !c.isAlive {
+			return
+		}
+	} else if m.isStoreDown && rapid.IntRange(0, 2).Draw(m.t, "detects outage") == 0 {
+		c.state = c.state.WithStoreUnreachable(m.now)
+	}
+	if m.reachesStore(c) && !m.now.Before(c.isBlindUntil) {
+		c.state = withListed(c.state, m.listed(), m.now)
+	}
+	state, commands := c.state.WithTick(m, m.now)
+	c.state = state
+	for _, cmd := range commands {
+		m.execute(c, cmd)
+	}
+}
+
+// reachesStore reports whether the coordinator's calls to the store succeed now.
+func (m *model) reachesStore(c *coordinator) bool {
+	return !c.isCutOffFromStore && !m.isStoreDown && (!m.faults.cutsHosts || !m.hosts[c.host].isCutOff)
+}
+
+// cutOff cuts a coordinator off from the store.
+func (m *model) cutOff(c *coordinator) {
+	if m.faults.cutsHosts {
+		m.hosts[c.host].isCutOff = true
+		return
+	}
+	c.isCutOffFromStore = true
+}
+
+// listed returns discovery's list. The store has one entry for each ID.
 func (m *model) listed() []instance.Instance {
+	latest := map[string]*server{}
+	for _, s := range m.servers {
+		if other, ok := latest[s.instance.ID]; s.isEntryListed(m.now) && (!ok || !s.listedAt.Before(other.listedAt)) {
+			latest[s.instance.ID] = s
+		}
+	}
 	var all []instance.Instance
 	for _, s := range m.servers {
-		if s.isListed {
+		if latest[s.instance.ID] == s {
 			all = append(all, s.instance)
 		}
 	}
+	if m.faults.misleadsDiscovery && rapid.Bool().Draw(m.t, "reversed") {
+		slices.Reverse(all)
+	}
 	return all
 }
 
 // drawFault draws a fault, a repair or a new server, or nothing.
 func (m *model) drawFault() {
 	s := m.servers[rapid.IntRange(0, len(m.servers)-1).Draw(m.t, "server")]
-	switch rapid.IntRange(0, 60).Draw(m.t, "event") {
+	m.apply(rapid.IntRange(0, 60).Draw(m.t, "event"), s)
+}
+
+// apply applies an event to a server, the current coordinator or the store.
+func (m *model) apply(event int, s *server) {
+	switch event {
 	case 0:
 		s.isPartitioned = !s.isPartitioned
 	case 1:
 		if s.isAlive {
-			s.isAlive, s.isListed = false, false
+			m.end(s)
 			if len(m.servers) < 10 {
-				m.start(s.instance.ID, s.instance.Address)
+				m.start(s.instance.ID, s.instance.Service, s.instance.Address)
 			}
 		}
 	case 2:
-		s.isListed = s.isAlive && !s.isListed
+		s.isListed, s.listedAt = s.isAlive && !s.isListed, m.now
 	case 3:
 		s.instance = s.instance.WithLeaving(m.now.Add(time.Second))
 	case 4:
@@ -161,22 +248,23 @@
 		}
 	case 5:
 		if c := m.current(); c != nil {
-			c.isCutOffFromStore = true
+			m.cutOff(c)
 		}
 	case 9, 10:
 		// From now on only the current coordinator, which loses access to the store, reaches the server.
 		if c := m.current(); c != nil && s.isAlive {
-			s.unreachableFromTerm, s.isListed, c.isCutOffFromStore = m.term+1, false, true
+			s.unreachableFromTerm, s.isListed = m.term+1, false
+			m.cutOff(c)
 		}
 	case 11:
 		if s.isAlive {
-			s.unreachableFromTerm, s.isListed = 0, true
+			s.unreachableFromTerm, s.isListed, s.listedAt = 0, true, m.now
 		}
 	case 7, 8:
 		m.isStoreDown = !m.isStoreDown
 	case 6:
 		if len(m.servers) < 10 {
-			m.start(fmt.Sprintf("n%d", len(m.servers)), fmt.Sprintf("10.0.1.%d:80", len(m.servers)))
+			m.start(fmt.Sprintf("n%d", len(m.servers)), "s", fmt.Sprintf("10.0.1.%d:80", len(m.servers)))
 		}
 	}
 }
@@ -194,11 +282,27 @@
 	if m.now.Before(m.leaseUntil) || m.isStoreDown {
 		return
 	}
+	candidate, ok := m.drawCandidate()
+	if !ok {
+		return
+	}
 	m.term++
 	m.leaseUntil = m.now.Add(lease)
+	if c := m.resumable(candidate); c != nil {
+		m.logf("coordinator %d resumes with term %d", c.term, m.term)
+		c.term, c.isCutOffFromStore, c.leaseEnd = m.term, false, m.leaseUntil
+		c.state = c.state.WithLease(m.leaseUntil)
+		return
+	}
+	for _, c := range m.coordinators {
+		if m.faults.cutsHosts && c.host == candidate {
+			c.isAlive = false
+		}
+	}
+	m.logf("coordinator %d elected", m.term)
 	c := &coordinator{state: ownership.New(modelTiming, m.keys, m.fence, m.now).WithLease(m.leaseUntil), term: m.term,
-		revision: m.revision, isAlive: true}
-	if rapid.IntRange(0, 3).Draw(m.t, "knows last outage") > 0 {
+		revision: m.revision, isAlive: true, host: candidate, leaseEnd: m.leaseUntil, reports: map[int]report{}}
+	if !m.faults.cutsHosts && rapid.IntRange(0, 3).Draw(m.t, "knows last outage") > 0 {
 		c.state = c.state.WithStoreReachableSince(m.lastDown)
 	}
 	m.coordinators = append(m.coordinators, c)
@@ -207,81 +311,106 @@
 // execute sends a command to a server or writes it to the store.
 func (m *model) execute(c *coordinator, cmd command.Command) {
 	m.t.Logf("%v coordinator %d: %T %+v", m.now.Sub(time.Unix(1_000_000, 0)), c.term, cmd, cmd)
-	next := call{from: c, arrivesAt: m.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(m.t, "transit ms")) * time.Millisecond),
+	maxTransit := 300
+	if m.faults.freezesCoordinators {
+		maxTransit = int(modelTiming.CallTimeout / time.Millisecond)
+	}
+	next := call{from: c, arrivesAt: m.now.Add(time.Duration(rapid.IntRange(1, maxTransit).Draw(m.t, "transit ms")) * time.Millisecond),
 		lost: rapid.IntRange(0, 9).Draw(m.t, "lost") == 0}
 	if next.lost {
 		next.delay = time.Duration(rapid.IntRange(0, 8000).Draw(m.t, "delay ms")) * time.Millisecond
 	}
 	switch cmd := cmd.(type) {
 	case command.Grant:
-		s := m.find(cmd.To)
-		next.apply = func() command.Result { return s.grant(cmd, next.arrivesAt, next.arrivesAt.Add(next.delay)) }
+		next.named = cmd.To
+		next.apply = func(s *server) command.Result { return s.grant(cmd, next.arrivesAt, next.arrivesAt.Add(next.delay)) }
 		next.answer = func(r command.Result) {
 			c.state = c.state.WithGrantResults([]command.Completion{{ID: cmd.ID, Result: r}}, m.now)
 		}
-		m.call(s, next)
+		m.call(next)
 	case command.Release:
-		s := m.find(cmd.From)
-		next.delay = 0
-		next.apply = func() command.Result { return s.release(cmd) }
+		next.named, next.delay = cmd.From, 0
+		next.apply = func(s *server) command.Result { return s.release(cmd) }
 		next.answer = func(r command.Result) { c.state = c.state.WithReleaseResult(cmd.ID, r, "h", m.now) }
-		m.call(s, next)
+		m.call(next)
 	case command.Save:
-		result := command.Stale
-		if c.term == m.term && c.revision == m.revision && m.now.Before(m.leaseUntil) && !c.isCutOffFromStore && !m.isStoreDown {
-			m.keys, m.fence = cmd.Keys, max(m.fence, cmd.ReservedFence)
-			m.revision++
-			c.revision = m.revision
-			result = command.Done
+		next := save{from: c, command: cmd, term: c.term, revision: c.revision, dueAt: m.now}
+		if m.faults.delaysSaves {
+			next.dueAt = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(m.t, "save ms")) * time.Millisecond)
+			next.isAnswerLost = rapid.IntRange(0, 2).Draw(m.t, "save answer lost") == 0
 		}
-		if c.isCutOffFromStore || m.isStoreDown {
-			return // the real coordinator retries the write
-		}
-		c.state = c.state.WithSaveResult(cmd, result, m.now)
+		m.saves = append(m.saves, next)
+		m.completeSaves()
 	}
 }
 
 // call puts a call in flight. The result is Unsent if its coordinator can't reach the server.
-func (m *model) call(s *server, next call) {
-	if s.isPartitioned || !s.isAlive || s.unreachableFromTerm > 0 && next.from.term >= s.unreachableFromTerm {
-		unsent := next
-		unsent.apply, unsent.lost = func() command.Result { return command.Unsent }, false
-		next = unsent
+func (m *model) call(next call) {
+	s := m.receiver(next.named)
+	if s == nil || s.isPartitioned || !s.isAlive || s.unreachableFromTerm > 0 && next.from.term >= s.unreachableFromTerm {
+		next.isUnsent, next.lost = true, false
+	} else if !m.faults.callsAddresses() {
+		next.receiver = s
 	}
 	m.calls = append(m.calls, next)
 }
 
+// receiver returns the server that a call reaches now, or nil if it reaches none.
+func (m *model) receiver(named instance.Instance) *server {
+	for _, s := range m.servers {
+		if m.faults.callsAddresses() {
+			isOtherLife := s.instance.ID == named.ID && s.instance.StartMillis != named.StartMillis
+			if s.isAlive && s.instance.Address == named.Address && (m.faults.reusesAddresses || !isOtherLife) {
+				return s
+			}
+		} else if s.instance.Incarnation() == named.Incarnation() {
+			return s
+		}
+	}
+	return nil
+}
+
 // deliver completes the calls that are due, and answers a lost one with Lost once CallTimeout has passed.
 func (m *model) deliver() {
 	var pending []call
 	for _, c := range m.calls {
+		if !c.isUnsent && c.receiver == nil && !c.arrivesAt.After(m.now) {
+			if c.receiver = m.receiver(c.named); c.receiver == nil {
+				c.isUnsent, c.lost = true, false
+			}
+		}
 		if c.arrivesAt.Add(c.delay).After(m.now) {
 			if c.lost && c.answer != nil && c.arrivesAt.Add(modelTiming.CallTimeout).Before(m.now) {
-				c.answer(command.Lost)
+				m.answer(c, command.Lost)
 				c.answer = nil
 			}
 			pending = append(pending, c)
 			continue
 		}
-		result := c.apply()
+		result := c.run()
 		m.t.Logf("%v call sent to arrive at %v took effect: %v, lost %v", m.now.Sub(time.Unix(1_000_000, 0)), c.arrivesAt.Sub(time.Unix(1_000_000, 0)), result, c.lost)
 		if c.lost {
 			result = command.Lost
 		}
 		if c.answer != nil {
-			c.answer(result)
+			m.answer(c, result)
 		}
 	}
 	m.calls = pending
 }
 
-func (m *model) find(i instance.Instance) *server {
-	for _, s := range m.servers {
-		if s.instance.Incarnation() == i.Incarnation() {
-			return s
-		}
+// answer passes the result of a call to its coordinator.
+func (m *model) answer(c call, r command.Result) {
+	m.tell(c.from, func() { c.answer(r) })
+}
+
+// tell runs apply once the coordinator is not frozen.
+func (m *model) tell(c *coordinator, apply func()) {
+	if c.isFrozen(m.now) {
+		c.answers = append(c.answers, apply)
+		return
 	}
-	panic("command for a server that never existed")
+	apply()
 }
 
 // check fails if two servers hold the same key of sampleKeys.
--- a/core/ownership/server_test.go
+++ b/core/ownership/server_test.go
@@ -16,6 +16,12 @@
 	instance instance.Instance
 	isListed bool
 	isAlive  bool
+	// listedAt is when the server's entry last appeared. listedFrom is when an entry that comes late appears, and
+	// listedUntil when that of an ended server goes.
+	listedAt    time.Time
+	listedFrom  time.Time
+	listedUntil time.Time
+	endedAt     time.Time
 	// unreachableFromTerm is the term of the first coordinator that can't reach the server, or 0.
 	unreachableFromTerm int
 	// isPartitioned is set while no coordinator reaches the server.
@@ -30,6 +36,11 @@
 	until time.Time
 }
 
+// isEntryListed reports whether discovery lists the server at now.
+func (s *server) isEntryListed(now time.Time) bool {
+	return s.isListed && !now.Before(s.listedFrom) || now.Before(s.listedUntil)
+}
+
 func (s *server) grant(g command.Grant, arrivedAt, effectiveAt time.Time) command.Result {
 	if !s.isAlive {
 		return command.Lost
