--- a/io/coordination/commands.go
+++ b/io/coordination/commands.go
@@ -4,8 +4,10 @@
 	"context"
 
 	"redwingsill/core/command"
+	"redwingsill/core/keymap"
 	"redwingsill/core/kind"
 	"redwingsill/core/ownership"
+	"redwingsill/core/record"
 	"redwingsill/core/transaction"
 	"redwingsill/io/registry"
 	"redwingsill/io/task"
@@ -16,18 +18,20 @@
 	c.startCall(func(ctx context.Context) func() {
 		r, err := c.store.Get(ctx, registry.OwnersKey(name))
 		if err == nil {
-			keys, fence, decodeErr := registry.DecodeOwners(r.Value)
+			keys, fence, decodeErr := ownersIn(r)
 			if decodeErr == nil {
 				return func() {
 					now := c.now()
 					service.state = ownership.New(c.timing, keys, fence, now).WithLease(c.tenure.leaseEnd)
 					service.revision, service.isLoaded, service.isStoreReachableSinceKnown, service.members = r.Revision, true, false, nil
-					c.log.Info("owners loaded", "Service", name, "Revision", r.Revision, "Holdings", len(keys.Holdings()), "Fence", fence)
+					c.log.Info("owners loaded", "Service", name, "Revision", r.Revision, "Holdings", len(keys.Holdings()), "Fence", fence,
+						"InheritedFor", remaining(service.state.InheritedUntil(), now))
 				}
 			}
 			err = decodeErr
 		}
 		c.log.Warn("owners not loaded", "Service", name, "Error", err)
+		task.Sleep(ctx, loadRetryDelay)
 		return func() {
 			if c.services[name] == service {
 				delete(c.services, name) // the next step loads them again
@@ -36,6 +40,15 @@
 	})
 }
 
+// ownersIn returns the owners in the record of a service's key and the highest reserved fencing token, which is 0 if the key does not
+// exist.
+func ownersIn(r record.Record) (keymap.Map, int64, error) {
+	if r.Revision == 0 {
+		return keymap.New(), 0, nil
+	}
+	return registry.DecodeOwners(r.Value)
+}
+
 // resumeOwnership continues a service's state under a new lease of this host. It drops the state, so that the next step
 // loads it again, if the owners can't be read or another host has written them since.
 func (c *Coordination) resumeOwnership(name string, service *shardedService) {
@@ -47,10 +60,12 @@
 				return
 			}
 			if err != nil || r.Revision != revision {
+				c.log.Info("ownership not resumed", "Service", name, "Revision", r.Revision, "Own", revision, "Error", err)
 				delete(c.services, name)
 				return
 			}
 			service.state = service.state.WithLease(c.tenure.leaseEnd)
+			c.log.Info("ownership resumed", "Service", name, "Revision", revision, "InheritedFor", remaining(service.state.InheritedUntil(), c.now()))
 		}
 	})
 }
@@ -81,19 +96,21 @@
 	c.startCall(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, deadline.Sub(c.now()))
 		defer cancel()
-		completions := make([]command.Completion, len(grants))
+		answers, completions := make([]command.Answer, len(grants)), make([]command.Completion, len(grants))
 		isUnreachable := false
 		for i, g := range grants {
-			completions[i] = command.Completion{ID: g.ID, Result: command.Unsent}
+			answers[i].Result = command.Unsent
 			if !isUnreachable {
-				completions[i].Result = c.servers.Grant(ctx, g)
-				isUnreachable = completions[i].Result == command.Lost || completions[i].Result == command.Unsent
+				answers[i] = c.servers.Grant(ctx, g)
+				isUnreachable = answers[i].Result == command.Lost || answers[i].Result == command.Unsent
 			}
+			completions[i] = command.Completion{ID: g.ID, Result: answers[i].Result}
 		}
 		return func() {
 			for i, g := range grants {
-				if completions[i].Result != command.Done {
-					c.log.Info("grant", "Service", name, "Server", g.To.ID, "Range", g.Range.String(), "Fence", g.Fence, "Result", completions[i].Result.String())
+				if a := answers[i]; a.Result != command.Done {
+					c.log.Info("grant", "Service", name, "Server", g.To.ID, "Range", g.Range.String(), "Fence", g.Fence, "Result", a.Result.String(),
+						"Status", a.Status, "Answering", a.Server)
 				}
 			}
 			service.completions = append(service.completions, completions...)
@@ -107,10 +124,11 @@
 	c.startCall(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, c.timing.LongestHold())
 		defer cancel()
-		result, handover := c.servers.Release(ctx, cmd)
+		a := c.servers.Release(ctx, cmd)
 		return func() {
-			c.log.Info("release", "Service", name, "Server", cmd.From.ID, "Range", cmd.Range.String(), "Fence", cmd.Fence, "Result", result.String())
-			service.state = service.state.WithReleaseResult(cmd.ID, result, handover, c.now())
+			c.log.Info("release", "Service", name, "Server", cmd.From.ID, "Range", cmd.Range.String(), "Fence", cmd.Fence, "Result", a.Result.String(),
+				"Status", a.Status, "Answering", a.Server)
+			service.state = service.state.WithReleaseResult(cmd.ID, a.Result, a.Handover, c.now())
 		}
 	})
 }
--- a/io/origin/client_test.go
+++ b/io/origin/client_test.go
@@ -169,8 +169,31 @@
 		Entry("with bytes after the response", response(200, "", "x")+"surplus"),
 		Entry("whose close the server announces", response(200, "Connection: close\r\n", "x")),
 		Entry("whose Keep-Alive timeout is shorter than the margin", response(200, "Keep-Alive: timeout=1\r\n", "x")),
+		Entry("whose Keep-Alive timeout is 0", response(200, "Keep-Alive: timeout=0\r\n", "x")),
 	)
 
+	DescribeTable("returns the response to HEAD, which has a length but no body", func(length string) {
+		server := newFakeServer("HTTP/1.1 200 X\r\nX-Attempt: ATTEMPT\r\nContent-Length: " + length + "\r\n\r\n")
+		got, result, err := newClient().Send(context.Background(), server.instance, origin.Request{Method: http.MethodHead, Target: "/", Host: "a",
+			AttemptID: "one", Header: http.Header{"X-Attempt": {"one"}}, Deadline: time.Now().Add(time.Second)}, 4)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Status).To(Equal(attemptresult.Answered))
+		Expect(got.Body).To(BeEmpty())
+		Expect(got.Header.Get("Content-Length")).To(Equal(length))
+	}, Entry("a short one", "5"), Entry("a longer one than is read", "999999999"))
+
+	DescribeTable("shares no connection with a HEAD request, whose response has another length", func(methods ...string) {
+		server := newFakeServer(response(200, "", ""), response(200, "", ""))
+		c := newClient()
+		for i, method := range methods {
+			id := fmt.Sprint(i)
+			_, _, err := c.Send(context.Background(), server.instance, origin.Request{Method: method, Target: "/", Host: "a", AttemptID: id,
+				Header: http.Header{"X-Attempt": {id}}, Deadline: time.Now().Add(time.Second)}, 4)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(server.conns).To(HaveLen(2))
+	}, Entry("HEAD first", http.MethodHead, http.MethodGet), Entry("HEAD second", http.MethodGet, http.MethodHead))
+
 	It("detects before sending that the server has closed an idle connection", func() {
 		server := newFakeServer(response(200, "", "only one"))
 		c := newClient()
@@ -221,3 +244,33 @@
 		Expect(result.Status).To(Equal(attemptresult.Answered))
 	})
 })
+
+var _ = Describe("a connection limit that idle connections reach", func() {
+	It("leaves room for an attempt that must not use the idle connection again", func() {
+		server := newFakeServer(response(503, "X-Not-Run: 1\r\n", ""), response(200, "", "over the same connection"))
+		c := newClient()
+		request := origin.Request{Method: http.MethodGet, Target: "/", Host: "a", AttemptID: "one", Header: http.Header{"X-Attempt": {"one"}},
+			Deadline: time.Now().Add(time.Second)}
+		for range 2 {
+			_, result, err := c.Send(context.Background(), server.instance, request, 1)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.Status).To(Equal(attemptresult.Refused)) // each connection's first response
+		}
+		Expect(server.conns).To(HaveLen(2))
+	})
+
+	It("keeps a connection that has refused other attempts, up to a number of them", func() {
+		var refusals []string
+		for range 100 {
+			refusals = append(refusals, response(503, "X-Not-Run: 1\r\n", ""))
+		}
+		server := newFakeServer(refusals...)
+		c := newClient()
+		for i := range 66 {
+			_, _, err := send(context.Background(), c, server, fmt.Sprint(i))
+			Expect(err).NotTo(HaveOccurred())
+			<-server.requests
+		}
+		Expect(server.conns).To(HaveLen(2))
+	})
+})
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -9,19 +9,36 @@
 	// tcpUserTimeout is how long sent data may stay unacknowledged before the kernel closes the connection. It detects
 	// peers that have become unreachable.
 	tcpUserTimeout = 1200 * time.Millisecond
-	// defaultIdleTimeout is how long an idle connection is kept if the server sends no Keep-Alive timeout.
-	defaultIdleTimeout = 4 * time.Second
+	// defaultKeepAlive is the Keep-Alive timeout assumed of a server that sends none. An idle connection to it is kept for
+	// 4 s.
+	defaultKeepAlive = 4*time.Second + idleMargin
 	// idleMargin is subtracted from the server's Keep-Alive timeout, so that no request is sent while the server closes
 	// the connection.
 	idleMargin = 1500 * time.Millisecond
 	// maxInlineBody is the length in bytes up to which a request body is written before the response is read. Socket
 	// buffers hold that much; longer bodies are written in a goroutine.
 	maxInlineBody = 32 << 10
+	// maxResponseHead bounds a response's status line and header fields in bytes, since they are buffered in full.
+	maxResponseHead = 16 << 10
 	// maxResponseBody bounds a response body in bytes, since it is buffered in full.
 	maxResponseBody = 16 << 20
+	// maxEncodedBody bounds a response body with its chunk sizes, chunk extensions and trailers in bytes. Only a body in
+	// tiny chunks has as many bytes of framing as of content.
+	maxEncodedBody = 2 * maxResponseBody
+	// initialBody is the initial capacity in bytes of the buffer for a response body, which grows as bytes arrive.
+	initialBody = 16 << 10
+	// maxUncountedBody is the size in bytes up to which the buffer of a response body is not counted, so that short
+	// responses can be read however many long ones are.
+	maxUncountedBody = 64 << 10
+	// maxTotalBodies bounds the buffers of all response bodies that are being read, in bytes. It holds the longest body
+	// while its buffer grows for the last time.
+	maxTotalBodies = 24 << 20
 	// maxResponseReads bounds how many responses are read for one request, including skipped ones: interim responses and
 	// responses to earlier requests.
 	maxResponseReads = 4
+	// maxFailedAttempts bounds the attempts that a connection remembers as not to be sent over it again. With more, the
+	// connection is closed.
+	maxFailedAttempts = 32
 	// headCapacity is the initial capacity in bytes of the buffer for a request's head, which grows for a longer head.
 	headCapacity = 1024
 	// readBufferSize is the size in bytes of a connection's read buffer, which fits the head of a typical response.
