Ask a silent owner for a release only after a lost fencing grant

A move now fences first, as it did before, and asks for a release only after the fencing grant itself was lost; a release that is answered is followed by the next fencing grant at once. The tests of silent owners and grants in flight pass unchanged.

--- a/core/ownership/move.go
+++ b/core/ownership/move.go
@@ -21,6 +21,8 @@
 	// isLateGrantPossible is set if a grant that is in flight or lost could take effect after the release and undo it.
 	// The fencing token is then raised before the release.
 	isLateGrantPossible bool
+	// isFencingLost is set if the last grant that raised the token got no response, and no release since then got one.
+	isFencingLost bool
 	// toFence is the fencing token of the new owner, set once the map with that owner is being written.
 	toFence int64
 }
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -17,7 +17,7 @@
 		m.stage = releasing
 	case command.Stale, command.Lost:
 		// Retry with a higher token: a lost grant could still take effect after a later one with the same token.
-		m.stage, m.isLateGrantPossible = releasing, true
+		m.stage, m.isLateGrantPossible, m.isFencingLost = releasing, true, result == command.Lost
 		m.retryAt = now.Add(o.timing.RetryDelay)
 	case command.Unsent, command.Invalid, command.Replaced:
 		m.retryAt = now.Add(o.timing.RetryDelay)
@@ -42,16 +42,22 @@
 	m.releaseID = 0
 	o = o.withEndedEvent(m.from, result, call.address)
 	o = o.withServer(m.from, o.servers[m.from].withCompletion(id, result, call.address))
-	if result == command.Done && handover != "" {
+	if result != command.Done || m.stage != releasing {
+		m.retryAt = now.Add(o.timing.RetryDelay)
+		return o.withMove(r, m)
+	}
+	m.isFencingLost = false
+	if handover != "" {
 		m.handover = handover
 	}
-	// A grant in flight may reach a later incarnation with the same ID and address, which has seen no tokens.
-	m.isLateGrantPossible = m.isLateGrantPossible || o.isGrantInFlight(m.from, r)
-	if result == command.Done && m.stage == releasing && !m.isLateGrantPossible {
+	switch {
+	case o.isGrantInFlight(m.from, r):
+		// The grant may reach a later incarnation with the same ID and address, which has seen no tokens.
+		m.isLateGrantPossible = true
+		m.retryAt = now.Add(o.timing.RetryDelay)
+	case !m.isLateGrantPossible:
 		m.stage = freed
 		o = o.withFreedEvent(r, m, ownershipevent.Released)
-	} else {
-		m.retryAt = now.Add(o.timing.RetryDelay)
 	}
 	return o.withMove(r, m)
 }
--- a/core/ownership/serverstate.go
+++ b/core/ownership/serverstate.go
@@ -21,8 +21,6 @@
 	// backend server answered instead of it. Either is empty if there was none.
 	answeredAt string
 	replacedAt string
-	// isSilent is set if the last command that was sent to the incarnation got no response.
-	isSilent bool
 }
 
 // hasEnded reports whether another backend server answers where this incarnation once did. It has then ended and holds
@@ -58,7 +56,6 @@
 // withCompletion removes a call to the given address that has ended, and records what its result tells about the
 // incarnation. The expiry of the grant counts towards heldUntil unless the incarnation did not receive it.
 func (s serverState) withCompletion(id int64, result command.Result, address string) serverState {
-	s.isSilent = result == command.Lost || s.isSilent && result == command.Unsent
 	switch result {
 	case command.Done, command.Stale:
 		s.answeredAt, s.replacedAt = address, ""
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -48,8 +48,9 @@
 		return o, commands
 	}
 	var id int64
-	// Each lost grant would extend the time until which a silent server may hold its keys. It is asked for a release first.
-	if m.stage == releasing && m.isLateGrantPossible && !s.isSilent {
+	// Each lost grant extends the time until which a silent server may hold its keys. After one, it is asked for a release
+	// first.
+	if m.stage == releasing && m.isLateGrantPossible && !m.isFencingLost {
 		next, fence, ok := o.withNextFence()
 		if !ok {
 			return o, commands
