Match backend servers' responses to attempts in the own protocol

What callers saw: "not run" for a request that a backend server was running, or the answer to another request, when a faulty server wrote an earlier response once more on a kept connection.

Cause: the class of the fault in io/origin: io/backendserver takes the next response on a connection for the response to the request that it wrote last. net/http drops a connection only if bytes arrive between two requests, not if they arrive after the next one was written.

Change: each attempt has an ID of its own in Redwingsill-Attempt-Id. If a response carries another ID, the request counts as one that may have run and its connection is closed. A server that does not echo the ID is served as before, and its responses still can't be told apart; the stand-in echoes it.

Ruled out: closing the connection after each refusal. net/http hands a connection on before it returns a response without a body, so the next request on it would be cut; and a copy of an answer would still pass.

Evidence: go test ./io/backendserver, before: "Expected <outcome.NotRun> to be assignable to the type: outcome.Unknown" and "Expected <outcome.Answered>: {Status: 200, Attributes: {}, Body: "other", IsReplayed: false}". After: passes, with -race.

--- a/io/backendserver/client.go
+++ b/io/backendserver/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -84,6 +85,10 @@
 		return failureOutcome(err, requestConn != nil && requestConn.hasWritten()), false
 	}
 	defer func() { _ = response.Body.Close() }()
+	if id := response.Header.Get(HeaderAttemptID); id != "" && id != request.Header.Get(HeaderAttemptID) {
+		_ = requestConn.Close() // later responses on this connection would be late too
+		return outcome.Unknown{Reason: "the answer belongs to another attempt"}, false
+	}
 	if reason := response.Header.Get(HeaderRefused); reason != "" {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 		return refusalOutcome(reason), reason == "Shed" || reason == "Connections"
@@ -117,6 +122,7 @@
 		}
 	}
 	deadline := time.Now().Add(run.Deadline.Sub(c.now()))
+	request.Header.Set(HeaderAttemptID, strconv.FormatUint(rand.Uint64(), 16))
 	request.Header.Set(HeaderGrant, strconv.FormatInt(run.Grant.Term, 10)+"."+strconv.FormatInt(run.Grant.Generation, 10))
 	request.Header.Set(HeaderDeadline, deadline.UTC().Format(time.RFC3339Nano))
 	request.Header.Set(HeaderKey, url.PathEscape(r.Key))
--- a/io/backendserver/client_test.go
+++ b/io/backendserver/client_test.go
@@ -255,6 +255,35 @@
 	})
 })
 
+var _ = Describe("A response that a server writes once more on a kept connection", func() {
+	DescribeTable("is not taken for the response to the next request", func(first string) {
+		earlier := ""
+		s := newRawServer(func(n int64, conn net.Conn, r *http.Request) {
+			id := r.Header.Get(backendserver.HeaderAttemptID)
+			if n == 1 {
+				earlier = fmt.Sprintf(first, backendserver.HeaderAttemptID, id)
+				_, _ = io.WriteString(conn, earlier)
+				return
+			}
+			_, _ = io.WriteString(conn, earlier)
+			time.Sleep(50 * time.Millisecond) // the request runs
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 3\r\n\r\nran", backendserver.HeaderAttemptID, id)
+		})
+		client, closeClient := backendserver.New(s.listener.Addr().String(), 1, time.Now)
+		DeferCleanup(closeClient)
+		_, _ = client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
+		o, _ := client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
+		Expect(o).To(BeAssignableToTypeOf(outcome.Unknown{})) // it may have run
+		_, _ = client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		Expect(s.conns).To(HaveLen(2))
+	},
+		Entry("a refusal", "HTTP/1.1 503 Busy\r\n"+backendserver.HeaderRefused+": Shed\r\n%s: %s\r\nContent-Length: 0\r\n\r\n"),
+		Entry("an answer", "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nother"),
+	)
+})
+
 // pausingContext is a context that calls pause whenever a value is read from it, which happens while a request is
 // prepared. It simulates a process that is paused before sending.
 type pausingContext struct {
--- a/io/standin/server/server.go
+++ b/io/standin/server/server.go
@@ -113,6 +113,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	w.Header().Set(backendserver.HeaderAttemptID, r.Header.Get(backendserver.HeaderAttemptID))
 	s.waitWhileFrozen(r)
 	deadline, _ := time.Parse(time.RFC3339Nano, r.Header.Get(backendserver.HeaderDeadline))
 	if refused := s.admit(r, deadline); refused != "" {
