Give the budget for response bodies a package, and let 16 MB fit

What callers saw: 502 for a response with a body of exactly 16 MB, the longest that is allowed, since the bound of memory came in.

Cause: the buffer doubled to 16 MB, was full, and grew once more for the byte that would show that the body is too long: 32 MB in place of the 24 MB that the budget had. A body of unknown length that came with its end in one read could be one byte too long.

Change: the last growth goes to the full size at once, the budget is 32 MB, and the length is checked before the end of the body. The type moves to io/bodybudget, as io/backendserver needs it too.

Evidence: go test ./io/bodybudget, before: "the response bodies that are being read need more than bytes". After: passes, with -race; the live heap beside 100 endless responses grew by 29 to 48 MB in three runs, against the test's bound of 64.

--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -13,6 +13,7 @@
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/instance"
 	"redwingsill/core/kind"
+	"redwingsill/io/bodybudget"
 	"redwingsill/io/headers"
 )
 
@@ -23,7 +24,7 @@
 	headers headers.Names
 	now     func() time.Time
 	conns   *pool
-	bodies  bodyBudget
+	bodies  bodybudget.BodyBudget
 }
 
 // New returns a client and a function that closes its idle connections. Deadlines are compared with now.
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -25,14 +25,6 @@
 	// maxEncodedBody bounds a response body with its chunk sizes, chunk extensions and trailers in bytes. Only a body in
 	// tiny chunks has as many bytes of framing as of content.
 	maxEncodedBody = 2 * maxResponseBody
-	// initialBody is the initial capacity in bytes of the buffer for a response body, which grows as bytes arrive.
-	initialBody = 16 << 10
-	// maxUncountedBody is the size in bytes up to which the buffer of a response body is not counted, so that short
-	// responses can be read however many long ones are.
-	maxUncountedBody = 64 << 10
-	// maxTotalBodies bounds the buffers of all response bodies that are being read, in bytes. It holds the longest body
-	// while its buffer grows for the last time.
-	maxTotalBodies = 24 << 20
 	// maxResponseReads bounds how many responses are read for one request, including skipped ones: interim responses and
 	// responses to earlier requests.
 	maxResponseReads = 4
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -42,7 +42,7 @@
 		if r.Method == http.MethodHead {
 			length = 0 // the announced one is that of the response to GET
 		}
-		body, err := c.bodies.read(response.Body, length)
+		body, err := c.bodies.Read(response.Body, length, maxResponseBody)
 		if err != nil {
 			return nil, newError("read response body", kind.Unknown, err)
 		}
