Bound the memory of responses in the own protocol

What could happen: the memory of an entry host grows with what faulty backend servers send, as in io/origin.

Cause: net/http accepts a head of 10 MB, and each response was buffered up to 8 MB, however many were read at the same time.

Change: a head has at most 16 KB with its interim responses, and all bodies that are being read share the budget of io/bodybudget. A request whose response exceeds a bound may have run, as before.

Evidence: go test ./io/backendserver, before: "Expected <int64>: to be < <int>:" (growth of the heap beside 108 endless responses). After: passes 3 of 3, one of them with -race.

--- a/io/backendserver/client.go
+++ b/io/backendserver/client.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -19,12 +18,15 @@
 	"redwingsill/core/effect"
 	"redwingsill/core/outcome"
 	"redwingsill/io/attribute"
+	"redwingsill/io/bodybudget"
 )
 
 const (
 	dialTimeout = time.Second
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout = time.Minute
+	// maxResponseHeadBytes bounds a response's status line and header fields, together with its interim responses.
+	maxResponseHeadBytes = 16 << 10
 	// maxResponseBytes is the largest response body that is accepted.
 	maxResponseBytes = 8 << 20
 	// maxRefusalBytes is how much of the body of a refusal is read, so that the connection can be reused.
@@ -37,12 +39,14 @@
 type Client struct {
 	address string
 	http    *http.Client
+	bodies  *bodybudget.BodyBudget
 	now     func() time.Time
 }
 
 // New returns a client of the server at an address and a function that closes its idle connections. The client opens at
-// most the given number of connections. Deadlines are compared with now.
-func New(address string, connections int, now func() time.Time) (*Client, func()) {
+// most the given number of connections, and reads responses within a budget that the clients of a host share. Deadlines
+// are compared with now.
+func New(address string, connections int, bodies *bodybudget.BodyBudget, now func() time.Time) (*Client, func()) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -56,12 +60,14 @@
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 	client := &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &Client{address: address, http: client, now: now}, transport.CloseIdleConnections
+	return &Client{address: address, http: client, bodies: bodies, now: now}, transport.CloseIdleConnections
 }
 
 // Run sends a request and returns its outcome. The second result reports whether the server refused the request because
@@ -93,12 +99,9 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 		return refusalOutcome(reason), reason == "Shed" || reason == "Connections"
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
+	content, err := c.bodies.Read(response.Body, response.ContentLength, maxResponseBytes)
+	if err != nil {
 		return outcome.Unknown{Reason: "the answer ended early: " + err.Error()}, false
-	case len(content) > maxResponseBytes:
-		return outcome.Unknown{Reason: fmt.Sprintf("the answer has more than %d bytes", maxResponseBytes)}, false
 	}
 	return outcome.Answered{Status: response.StatusCode, Attributes: responseAttributes(response.Header), Body: content}, false
 }
--- a/io/backendserver/client_test.go
+++ b/io/backendserver/client_test.go
@@ -5,8 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +24,7 @@
 	"redwingsill/core/request"
 	"redwingsill/io/attribute"
 	"redwingsill/io/backendserver"
+	"redwingsill/io/bodybudget"
 	"redwingsill/io/task"
 )
 
@@ -90,7 +94,7 @@
 }
 
 func newClient(s *rawServer) *backendserver.Client {
-	client, closeClient := backendserver.New(s.listener.Addr().String(), 2, time.Now)
+	client, closeClient := backendserver.New(s.listener.Addr().String(), 2, &bodybudget.BodyBudget{}, time.Now)
 	DeferCleanup(closeClient)
 	return client
 }
@@ -142,7 +146,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		address := listener.Addr().String()
 		Expect(listener.Close()).To(Succeed())
-		client, closeClient := backendserver.New(address, 2, time.Now)
+		client, closeClient := backendserver.New(address, 2, &bodybudget.BodyBudget{}, time.Now)
 		defer closeClient()
 		o, _ := client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
 		Expect(o).To(BeAssignableToTypeOf(outcome.NotRun{}))
@@ -172,7 +176,7 @@
 			<-release
 			reply(conn, "done")
 		})
-		client, closeClient := backendserver.New(s.listener.Addr().String(), 1, time.Now)
+		client, closeClient := backendserver.New(s.listener.Addr().String(), 1, &bodybudget.BodyBudget{}, time.Now)
 		DeferCleanup(closeClient)
 		tasks, wait := task.New(context.Background())
 		DeferCleanup(wait)
@@ -188,7 +192,7 @@
 		s := newRawServer(func(_ int64, conn net.Conn, _ *http.Request) { reply(conn, "done") })
 		var now atomic.Int64
 		base := time.Now()
-		client, closeClient := backendserver.New(s.listener.Addr().String(), 1, func() time.Time { return base.Add(time.Duration(now.Load())) })
+		client, closeClient := backendserver.New(s.listener.Addr().String(), 1, &bodybudget.BodyBudget{}, func() time.Time { return base.Add(time.Duration(now.Load())) })
 		DeferCleanup(closeClient)
 		run := newRun(http.MethodPost, "{}", time.Second)
 		run.Deadline = base.Add(time.Second)
@@ -269,7 +273,7 @@
 			time.Sleep(50 * time.Millisecond) // the request runs
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 3\r\n\r\nran", backendserver.HeaderAttemptID, id)
 		})
-		client, closeClient := backendserver.New(s.listener.Addr().String(), 1, time.Now)
+		client, closeClient := backendserver.New(s.listener.Addr().String(), 1, &bodybudget.BodyBudget{}, time.Now)
 		DeferCleanup(closeClient)
 		_, _ = client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
 		o, _ := client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
@@ -284,6 +288,55 @@
 	)
 })
 
+var _ = Describe("A response without end", func() {
+	const head = "HTTP/1.1 200 OK\r\n"
+	responses := map[string][2]string{
+		"a header field":                {head + "X-Long: ", "aaaaaaaa"},
+		"header fields":                 {head, "X-Many: a\r\n"},
+		"interim responses":             {"", "HTTP/1.1 103 X\r\nX-Interim: a\r\n\r\n"},
+		"a body that ends at the close": {head + "\r\n", "aaaaaaaa"},
+		"a body of known length":        {head + "Content-Length: 8000000000\r\n\r\n", "aaaaaaaa"},
+		"chunks":                        {head + "Transfer-Encoding: chunked\r\n\r\n", "8\r\naaaaaaaa\r\n"},
+		"a chunk extension":             {head + "Transfer-Encoding: chunked\r\n\r\n1;", "aaaaaaaa"},
+		"trailers":                      {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Many: a\r\n"},
+		"a refusal":                     {"HTTP/1.1 503 Busy\r\n", "X-Many: a\r\n"},
+	}
+
+	It("makes the outcome Unknown, and leaves the memory flat beside 100 of them", func() {
+		var bodies bodybudget.BodyBudget
+		var runs sync.WaitGroup
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for _, name := range slices.Sorted(maps.Keys(responses)) {
+			s := newRawServer(func(n int64, conn net.Conn, _ *http.Request) {
+				block, pause := []byte(strings.Repeat(responses[name][1], 1000)), time.Duration(0)
+				if n%2 == 0 {
+					pause = 5 * time.Millisecond
+				}
+				_, err := io.WriteString(conn, responses[name][0])
+				for ; err == nil; time.Sleep(pause) {
+					_, err = conn.Write(block)
+				}
+			})
+			client, closeClient := backendserver.New(s.listener.Addr().String(), 12, &bodies, time.Now)
+			DeferCleanup(closeClient)
+			for range 12 {
+				runs.Go(func() {
+					defer GinkgoRecover()
+					o, _ := client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
+					Expect(o).To(BeAssignableToTypeOf(outcome.Unknown{}), name)
+				})
+			}
+		}
+		time.Sleep(500 * time.Millisecond) // half of the deadline
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runs.Wait()
+		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", 64<<20))
+	})
+})
+
 // pausingContext is a context that calls pause whenever a value is read from it, which happens while a request is
 // prepared. It simulates a process that is paused before sending.
 type pausingContext struct {
--- a/io/entry/effects.go
+++ b/io/entry/effects.go
@@ -135,7 +135,7 @@
 		e.stepLeaseHolder(server, event.AssignmentChanged{Server: server, Assignment: s.Assignment, Configuration: s.Configuration})
 	}
 	if declared := s.Configuration.BackendServers[server]; declared.Address != b.address {
-		client, closeClient := backendserver.New(declared.Address, declared.Slots, e.clock.Now)
+		client, closeClient := backendserver.New(declared.Address, declared.Slots, &e.bodies, e.clock.Now)
 		b.close()
 		b.address, b.close = declared.Address, closeClient
 		b.client.Store(client)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -17,6 +17,7 @@
 	"redwingsill/core/rcu"
 	"redwingsill/core/snapshot"
 	"redwingsill/core/timing"
+	"redwingsill/io/bodybudget"
 	"redwingsill/io/clock"
 	"redwingsill/io/identity"
 	"redwingsill/io/metrics"
@@ -56,6 +57,7 @@
 	snapshot      *rcu.Value[snapshot.Snapshot]
 	gateway       *rcu.Value[gateway.Gateway]     // the retry budget
 	backends      *rcu.Value[map[string]*backend] // by server
+	bodies        bodybudget.BodyBudget           // of the responses of all backend servers
 	reportedLoads sync.Map                        // server -> *atomic.Uint64, the bits of a float64 in requests per slot
 	waiters       sync.Map                        // ticket -> chan effect.CompleteRequest
 	cancels       sync.Map                        // ticket -> context.CancelFunc
