Name no coordinator from an entry that can't be read

json.Unmarshal goes on after a field of the wrong type, so a coordinator's entry that was logged as invalid still named a coordinator if its name came out, against the comment on the function. Other hosts would have sent their requests for slots to a host that may not be the coordinator. Seen by a test; no host has met it.

Before: TestAnUnreadableCoordinatorIsNoneAndKeepsItsRevision, "\"{\\\"Name\\\":\\\"h1\\\",\\\"Mark\\\":[]}\": coordinator \"h1\" at revision 14, want none at 14". After: it passes.

--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -134,9 +134,10 @@
 	if !c.IsRemoved {
 		var d coordinatorDocument
 		if err := json.Unmarshal(c.Value, &d); err != nil {
-			r.log.Warn("invalid entry of the coordinator", "Error", err)
+			r.log.Warn("invalid entry of the coordinator", "Revision", c.Revision, "Error", err)
+		} else {
+			name = d.Name
 		}
-		name = d.Name
 		r.coordinator.Store(c)
 	} else {
 		r.coordinator.Store(record.Record{})
--- a/io/registry/unreadable_test.go
+++ b/io/registry/unreadable_test.go
@@ -96,3 +96,24 @@
 		t.Errorf("the hosts are %+v after a valid entry and a removal, want b", all)
 	}
 }
+
+func TestAnUnreadableCoordinatorIsNoneAndKeepsItsRevision(t *testing.T) {
+	hosts := rcu.New(directory.Directory{})
+	r := registry.New(hosts, func() {}, slog.New(slog.DiscardHandler))
+	sound, err := registry.EncodeCoordinator("h1", "w")
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision := int64(0)
+	for _, value := range []string{"", "null", "{}", "[]", "{", `{"Name":5}`, `{"Name":"h1","Mark":[]}`, string(sound[:5]), strings.Repeat("[", 1_000_000)} {
+		revision += 2
+		r.Apply([]record.Record{recordOf(registry.CoordinatorKey, string(sound), revision-1)}, revision-1, false)
+		if got := hosts.Read().Coordinator; got != "h1" {
+			t.Fatalf("the coordinator is %q, want h1", got)
+		}
+		r.Apply([]record.Record{recordOf(registry.CoordinatorKey, value, revision)}, revision, false)
+		if got := hosts.Read().Coordinator; got != "" || r.CoordinatorRevision() != revision || registry.WriteIDOf([]byte(value)) != "" {
+			t.Errorf("%.50q: coordinator %q at revision %d, want none at %d", value, got, r.CoordinatorRevision(), revision)
+		}
+	}
+}
