Elect a coordinator when the coordinator's key has an unreadable value

No key of any sharded service would have been served until someone removed the value: a key with a higher revision made the coordinator step down, and as long as the key exists other hosts take it that a coordinator does. An unreadable value names none, and unless it was written with a lease it stays for ever. Only entry hosts write there, but bytes may be cut short; no host has met it.

A host now campaigns to replace such a value, on condition of its revision, after the lease of the coordinator before it has ended and in the usual order of hosts. With that wait the times after which earlier grants count as expired hold as after any other election. A value that names a host that doesn't exist still stops elections.

Before: "serve all keys again after an unreadable value under the coordinator's key, without two owners" fails: "0 of 16 keys are served, and the coordinator is \"\"" after 28 s. After: it passes, 3 of 3 with -race, and all specs of the package do.

--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -60,6 +60,8 @@
 	// vacantSince is when this host first saw no coordinator, or campaignRetryDelay after its last campaign began. Its
 	// campaign delay counts from then. It is zero while another host is the coordinator.
 	vacantSince time.Time
+	// unreadableRevision is the revision of the coordinator's key that last had an unreadable value, for which vacantSince counts anew.
+	unreadableRevision int64
 	// checkedAt is when this host last read the coordinator's key because the coordinator did not respond.
 	checkedAt time.Time
 	// writeCount is the number of write IDs given out. It makes each ID unique.
--- a/io/coordination/tenure.go
+++ b/io/coordination/tenure.go
@@ -50,6 +50,15 @@
 		if !now.Before(c.vacantSince) {
 			c.campaign(now, currentRevision)
 		}
+	case currentRevision != 0 && currentRevision != c.tenure.revision && c.directory.Read().Coordinator == "":
+		// The key has an unreadable value, and perhaps no lease. The coordinator that it belonged to may not know that yet, so this host
+		// waits for the end of that coordinator's lease.
+		if c.unreadableRevision != currentRevision {
+			c.unreadableRevision, c.vacantSince = currentRevision, now
+		}
+		if now.Sub(c.vacantSince) >= c.leaseDuration+c.campaignDelay() {
+			c.campaign(now, currentRevision)
+		}
 	case currentRevision != 0 && currentRevision != c.tenure.revision:
 		// Another host is the coordinator.
 		c.vacantSince = time.Time{}
