Let the test of cancelled attempts skip failed warm-ups

Seen in 3 of 8 runs at a load of 29: "Expected success, but got an error: dial tcp: i/o timeout". The request that leaves an idle connection for the checked one could not connect within 350 ms, since the test itself fills the listen queue with connections whose callers have left. The round is now left out, and the test wants more than 100 rounds. What is checked is unchanged.

--- a/io/origin/cancel_test.go
+++ b/io/origin/cancel_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -33,11 +34,15 @@
 			return err
 		}
 		var senders sync.WaitGroup
+		var rounds atomic.Int64
 		for range 32 {
 			senders.Go(func() {
 				defer GinkgoRecover()
 				for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
-					Expect(sendAs(context.Background(), "warm")).To(Succeed()) // leaves an idle connection
+					if sendAs(context.Background(), "warm") != nil { // else it leaves an idle connection
+						continue // the listen queue is full of connections whose callers have left
+					}
+					rounds.Add(1)
 					ctx, cancel := context.WithCancel(context.Background())
 					go cancel()
 					began := time.Now()
@@ -47,5 +52,6 @@
 			})
 		}
 		senders.Wait()
+		Expect(rounds.Load()).To(BeNumerically(">", 100))
 	})
 })
