Ignore SIGHUP until the host can reload its settings

What operators saw: a host that gets a SIGHUP while it starts is ended by it, and the connections of its callers are refused until it is started again.

Cause: the handler is set late, after the settings were read and the listeners opened, and the default of SIGHUP ends a process.

Change: main ignores SIGHUP first of all.

After 0 to 2 ms it still ends all: no code of the program runs by then.

--- a/cmd/redwingsill-platform/main.go
+++ b/cmd/redwingsill-platform/main.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -15,6 +17,7 @@
 )
 
 func main() {
+	signal.Ignore(syscall.SIGHUP) // until the host can reload its settings, which it is yet to read
 	command := &cli.Command{
 		Name:  "redwingsill-platform",
 		Usage: "run an entry host on the platform until SIGTERM or SIGINT",
