Don't close a channel on which goroutines may send

Cause: the end of a group closed the channel of starts, and Go recovered from the panic of a send on it. The two are a data race.

Change: a channel of its own says that the group is closing; no channel is closed on which others send.

Evidence: TestGoroutinesMayStartWhileTheirGroupEnds fails before with a data race (go test -race ./io/task), and passes 5 of 5 after.

--- a/io/task/task.go
+++ b/io/task/task.go
@@ -12,19 +12,21 @@
 	ctx    context.Context
 	ends   chan struct{}
 	starts chan struct{}
-	idle   chan struct{}
-	once   sync.Once
+	// closing is closed when no more goroutines may start, and idle when all have ended.
+	closing chan struct{}
+	idle    chan struct{}
+	once    sync.Once
 }
 
 // New returns a group whose context is derived from ctx, and a function that cancels the context and waits until all
 // goroutines of the group have ended.
 func New(ctx context.Context) (*Group, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	g := &Group{ctx: ctx, ends: make(chan struct{}), starts: make(chan struct{}), idle: make(chan struct{})}
+	g := &Group{ctx: ctx, ends: make(chan struct{}), starts: make(chan struct{}), closing: make(chan struct{}), idle: make(chan struct{})}
 	go g.countRunning()
 	return g, func() {
 		cancel()
-		g.once.Do(func() { close(g.starts) })
+		g.once.Do(func() { close(g.closing) })
 		<-g.idle
 	}
 }
@@ -35,10 +37,11 @@
 // Go runs f in a new goroutine of the group. It may do nothing once the group's context is cancelled, and does nothing
 // after the group has ended.
 func (g *Group) Go(f func(ctx context.Context)) {
-	defer func() { _ = recover() }() // starts may be closed during the select, and sending on it then panics
 	select {
 	case <-g.ctx.Done():
 		return
+	case <-g.closing:
+		return
 	case g.starts <- struct{}{}:
 	}
 	go func() {
@@ -49,14 +52,12 @@
 
 // countRunning counts the running goroutines, and closes idle when the group is closed and all of them have ended.
 func (g *Group) countRunning() {
-	running, starts := 0, g.starts
-	for starts != nil || running > 0 {
+	running, starts, closing := 0, g.starts, g.closing
+	for closing != nil || running > 0 {
 		select {
-		case _, ok := <-starts:
-			if !ok {
-				starts = nil
-				continue
-			}
+		case <-closing:
+			starts, closing = nil, nil // a nil channel is never ready
+		case <-starts:
 			running++
 		case <-g.ends:
 			running--
