Keep to what backend servers say of leaving in their answers

A backend server that leaves says so in each answer (Server-Leaving: 1). Hosts passed the field on and took no notice: until discovery listed the server as leaving, which it can't while the store is down, they went on sending it requests, long after the drain time.

Each answer's head is now read for the word, also of refusals, failures, early answers to long bodies, answers that break off in the body, and answers to grants and releases. An answer that another instance gave says nothing. The word is recorded by incarnation in an immutable value, before the answer is passed on, and the roster that requests, pools and the coordinator read is the discovered one with these servers marked as leaving: discovery can't undo it, and only another incarnation ends it. A leaving server gets requests for its keys until the drain time less a margin, and none that others can run; kept connections to it are closed.

While the store is down the keys of a server that leaves find no new owner, as moves need the store; callers get NotRun (NoOwner) after 1.5 s.

--- a/core/attemptresult/attemptresult.go
+++ b/core/attemptresult/attemptresult.go
@@ -1,7 +1,11 @@
 // Package attemptresult holds the result of one attempt to send a request to a backend server.
 package attemptresult
 
-import "time"
+import (
+	"time"
+
+	"redwingsill/core/announcement"
+)
 
 // AttemptResult reports the end of an attempt to the pool, which frees the slot.
 type AttemptResult struct {
@@ -16,6 +20,9 @@
 	// reported none.
 	Running int
 	Waiting int
+	// Announcement is what the backend server said of itself in its answer, or, in a result with the status Unsent, what the
+	// host knew from earlier answers.
+	Announcement announcement.Announcement
 }
 
 // HasLoad reports whether the backend server reported its load.
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"time"
 
+	"redwingsill/core/announcement"
+	"redwingsill/core/announcements"
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/directory"
 	"redwingsill/core/instance"
@@ -45,16 +47,21 @@
 	// budgets holds, by service, this host's part of the retry budget.
 	budgets     *rcu.Value[map[string]slidingbudget.Budget]
 	retryBudget *rcu.Value[RetryBudget]
+	// announcements holds what backend servers have announced in their answers, and onAnnouncement receives more.
+	announcements  *rcu.Value[announcements.Announcements]
+	onAnnouncement func(requestID string, from instance.Instance, a announcement.Announcement)
 }
 
-// New returns a forwarder for a host in dataCentre. Routes, servers and hosts are read for each request, so that
-// updates apply at once.
+// New returns a forwarder for a host in dataCentre. Routes, servers, hosts and announcements are read for each request, so
+// that updates apply at once. The function onAnnouncement receives what a backend server's answer says of the server, before
+// the answer is passed on.
 func New(dataCentre string, retryBudget RetryBudget, routes *rcu.Value[routing.Routing], servers *rcu.Value[roster.Roster],
-	hosts *rcu.Value[directory.Directory], slotClient *slotclient.SlotClient, client *origin.Client, metrics Metrics, now func() time.Time,
-	log *slog.Logger) *Forwarder {
+	hosts *rcu.Value[directory.Directory], announced *rcu.Value[announcements.Announcements],
+	onAnnouncement func(requestID string, from instance.Instance, a announcement.Announcement),
+	slotClient *slotclient.SlotClient, client *origin.Client, metrics Metrics, now func() time.Time, log *slog.Logger) *Forwarder {
 	return &Forwarder{dataCentre: dataCentre, now: now, log: log, metrics: metrics, routing: routes, roster: servers,
 		directory: hosts, slotClient: slotClient, origin: client, selectors: rcu.New(map[string]weighted.RoundRobin{}),
-		budgets: rcu.New(map[string]slidingbudget.Budget{}), retryBudget: rcu.New(retryBudget)}
+		budgets: rcu.New(map[string]slidingbudget.Budget{}), retryBudget: rcu.New(retryBudget), announcements: announced, onAnnouncement: onAnnouncement}
 }
 
 // Serve serves one request of a route. The key is used only if the service is sharded; it may be [slotrequest.NoKey].
@@ -89,8 +96,8 @@
 		}
 		s.incarnation = slot.Incarnation
 		to, ok := f.findInstance(slot.Incarnation)
-		if !ok || !to.AcceptsRequests(f.now()) {
-			slot.Release(attemptresult.AttemptResult{Incarnation: slot.Incarnation, Status: attemptresult.Unsent, Running: -1, Waiting: -1})
+		if !ok || !f.mayBeSent(s, to) {
+			slot.Release(f.unsentResult(slot.Incarnation))
 			s.history.Excluded = append(s.history.Excluded, slot.Incarnation)
 			if !f.backOff(ctx, s) {
 				return f.failureOutcome(ctx, s, failureRetryAfter)
@@ -98,6 +105,9 @@
 			continue
 		}
 		response, result, err := f.origin.Send(ctx, to, s.request, f.connectionLimit(s.service))
+		if !result.Announcement.IsZero() {
+			f.onAnnouncement(s.request.AttemptID, to, result.Announcement)
+		}
 		slot.Release(result)
 		f.metrics.CountAttempt(s.service, result.Status)
 		s.history = s.history.WithResult(slot.Incarnation, result.Status)
@@ -119,6 +129,19 @@
 	}
 }
 
+// mayBeSent reports whether a request may be sent to the server of its slot. A server that is leaving gets no requests that
+// others can run, and for a while those for its keys.
+func (f *Forwarder) mayBeSent(s *requestState, to instance.Instance) bool {
+	return to.AcceptsRequests(f.now()) && (!to.IsLeaving || f.keyOf(s) != slotrequest.NoKey)
+}
+
+// unsentResult returns the result for a slot that is given back unused. It tells the host that gave out the slot what the
+// server has announced to this host.
+func (f *Forwarder) unsentResult(incarnation string) attemptresult.AttemptResult {
+	return attemptresult.AttemptResult{Incarnation: incarnation, Status: attemptresult.Unsent, Running: -1, Waiting: -1,
+		Announcement: announcement.Announcement{IsLeaving: f.announcements.Read().IsLeaving(incarnation)}}
+}
+
 // passesToCaller reports whether the response to an attempt that is not Answered is sent to the caller unchanged.
 // Refusals by the backend server are not, nor are status codes that tell a caller that the request did not run, since
 // it may have run.
@@ -154,10 +177,7 @@
 // newSlotRequest returns the slot request for the next attempt. Requests with a key exclude no backend servers, as only
 // the owner of the key can serve them.
 func (f *Forwarder) newSlotRequest(s *requestState) slotrequest.SlotRequest {
-	key := slotrequest.NoKey
-	if f.routing.Read().Services[s.service].IsSharded {
-		key = s.key
-	}
+	key := f.keyOf(s)
 	r := slotrequest.SlotRequest{DataCentre: f.dataCentre, Service: s.service, Key: key, Rank: s.route.Rank, Objective: s.objective,
 		Deadline: s.request.Deadline, IsRetry: s.rounds > 1, IsIdempotent: s.route.IsIdempotent}
 	if key == slotrequest.NoKey {
@@ -166,6 +186,14 @@
 	return r
 }
 
+// keyOf returns the key of a request whose service is sharded, and otherwise [slotrequest.NoKey].
+func (f *Forwarder) keyOf(s *requestState) int {
+	if f.routing.Read().Services[s.service].IsSharded {
+		return s.key
+	}
+	return slotrequest.NoKey
+}
+
 // findInstance returns the current instance of a backend server, and whether it is the given incarnation.
 func (f *Forwarder) findInstance(incarnation string) (instance.Instance, bool) {
 	servers := f.roster.Read()
--- a/io/headers/names.go
+++ b/io/headers/names.go
@@ -26,6 +26,8 @@
 	Key string
 	// Handover is the state for the next owner of a key range, in the old owner's response to the release of the range.
 	Handover string
+	// Leaving is set in each answer of a backend server that is leaving.
+	Leaving string
 }
 
 // hopByHop holds the hop-by-hop header fields (RFC 9110, section 7.6.1, and RFC 2616, section 13.5.1).
--- /dev/null
+++ b/io/origin/announcement.go
@@ -0,0 +1,22 @@
+package origin
+
+import (
+	"net/http"
+
+	"redwingsill/core/announcement"
+	"redwingsill/core/instance"
+)
+
+// announcementOf returns what the head of the last response on a connection says of the server that r was sent to. It
+// says nothing if there is none, or if it answers an earlier request or comes from another instance.
+func (c *Client) announcementOf(head *http.Response, to instance.Instance, r Request) announcement.Announcement {
+	if head == nil || head.Header.Get(c.headers.AttemptID) != r.AttemptID {
+		return announcement.Announcement{}
+	}
+	// The instance that a request names need not name itself, but another one answers 421 in general without its own ID.
+	id := head.Header.Get(c.headers.InstanceID)
+	if id != "" && id != to.ID || id == "" && head.StatusCode == http.StatusMisdirectedRequest {
+		return announcement.Announcement{}
+	}
+	return announcement.Announcement{IsLeaving: head.Header.Get(c.headers.Leaving) == leavingValue}
+}
--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"redwingsill/core/announcement"
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/instance"
 	"redwingsill/core/kind"
@@ -36,9 +37,11 @@
 // response.
 func (c *Client) Send(ctx context.Context, to instance.Instance, r Request, limit int) (*Response, attemptresult.AttemptResult, error) {
 	began := c.now()
+	var announced announcement.Announcement
 	// The load, Running and Waiting, is -1 until a response reports it.
 	newResult := func(status attemptresult.Status) attemptresult.AttemptResult {
-		return attemptresult.AttemptResult{Incarnation: to.Incarnation(), Status: status, Duration: c.now().Sub(began), Running: -1, Waiting: -1}
+		return attemptresult.AttemptResult{Incarnation: to.Incarnation(), Status: status, Duration: c.now().Sub(began), Running: -1, Waiting: -1,
+			Announcement: announced}
 	}
 	connection, err := c.conns.get(ctx, to.Address, limit)
 	if err != nil {
@@ -48,15 +51,20 @@
 		}
 		return nil, newResult(attemptresult.Unreachable), err
 	}
+	connection.head = nil
 	stop := context.AfterFunc(ctx, connection.abort)
 	response, err := c.exchange(connection, to, r)
 	if !stop() {
 		err = errors.Join(err, ctx.Err())
 	}
+	announced = c.announcementOf(connection.head, to, r)
+	if announced.IsLeaving {
+		c.conns.closeIdle(to.Address)
+	}
 	switch {
 	case err != nil || ctx.Err() != nil:
 		connection.reset()
-	case response.closesConnection || connection.reader.Buffered() > 0:
+	case response.closesConnection || announced.IsLeaving || connection.reader.Buffered() > 0:
 		connection.close()
 	default:
 		c.conns.put(connection, response.keepAlive)
--- a/io/origin/client_test.go
+++ b/io/origin/client_test.go
@@ -25,7 +25,7 @@
 }
 
 var names = headers.Names{AttemptID: "X-Attempt", Deadline: "X-Deadline", Seal: "X-Seal", ExpectInstance: "X-Expect", InstanceID: "X-Instance",
-	Load: "X-Load", NotRun: "X-Not-Run", Key: "X-Key", Handover: "X-Handover"}
+	Load: "X-Load", NotRun: "X-Not-Run", Key: "X-Key", Handover: "X-Handover", Leaving: "X-Leaving"}
 
 // fakeServer is a backend server that sends prepared responses byte for byte.
 type fakeServer struct {
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +15,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head is the head of the last response to the current request, or nil.
+	head *http.Response
 	// address is the dialled address, by which the pool keeps and counts the connection.
 	address string
 	// idleUntil is the time from which an idle connection must not be reused.
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -22,6 +22,8 @@
 	// maxResponseReads bounds how many responses are read for one request, including skipped ones: interim responses and
 	// responses to earlier requests.
 	maxResponseReads = 4
+	// leavingValue is the value of the header field with which a server says that it leaves.
+	leavingValue = "1"
 	// headCapacity is the initial capacity in bytes of the buffer for a request's head, which grows for a longer head.
 	headCapacity = 1024
 	// readBufferSize is the size in bytes of a connection's read buffer, which fits the head of a typical response.
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -25,6 +25,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		from.head = response
 		body, err := readBody(response)
 		if err != nil {
 			return nil, newError("read response body", kind.Unknown, err)
--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -23,6 +23,7 @@
 	attempts        *prometheus.CounterVec
 	storeCalls      *prometheus.CounterVec
 	rangesFreed     *prometheus.CounterVec
+	leavingServers  *prometheus.CounterVec
 }
 
 // New returns metrics with their collectors registered.
@@ -38,8 +39,10 @@
 			Help: "Calls to the store, by call and result."}, []string{"call", "result"}),
 		rangesFreed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_ranges_freed_total",
 			Help: "Key ranges that this host, as the coordinator, freed for a new owner, by service and reason."}, []string{"service", "reason"}),
+		leavingServers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_leaving_servers_total",
+			Help: "Backend servers that this host heard leave from their answers, by service."}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed)
+	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.leavingServers)
 	return m
 }
 
@@ -58,6 +61,9 @@
 	m.attempts.WithLabelValues(service, result.String()).Inc()
 }
 
+// CountLeavingServer counts a backend server of a service whose answer said for the first time that it leaves.
+func (m *Metrics) CountLeavingServer(service string) { m.leavingServers.WithLabelValues(service).Inc() }
+
 // CountStoreCall counts a call to the platform's key-value store. The parameter call is the operation, and result is
 // "Done" or an error kind.
 func (m *Metrics) CountStoreCall(call, result string) {
