Tell the slot server of a service what backend servers announce

What a backend server said in an answer was known only to the host that got the answer. The host that gives out the service's slots, the coordinator for a sharded service, went on placing other hosts' requests there until its own requests, its grants or discovery told it.

Attempt results carry the announcement, also those of slots that a host gives back because the server has left.

Test in io/slotclient with the notification not sent: Timed out after 1.000s. Expected <chan notification.ServerAnnounced | len:0, cap:10> to receive something. It passes with it. A test holds the encoding of reports as it was.

--- a/io/datagram/codec.go
+++ b/io/datagram/codec.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"redwingsill/core/announcement"
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/kind"
 	"redwingsill/core/notification"
@@ -26,8 +27,12 @@
 	codeDeclined
 	codeReachabilityRequested
 	codeReachabilityReported
+	codeServerAnnounced
 )
 
+// flagLeaving is the flag of an announcement that says that the server leaves.
+const flagLeaving byte = 1
+
 // Flags of a slot request.
 const (
 	flagRetry byte = 1 << iota
@@ -68,6 +73,9 @@
 		w.putByte(codeAttemptReported)
 		w.putString(n.Service)
 		w.putAttemptResult(n.Result)
+	case notification.ServerAnnounced:
+		w.putByte(codeServerAnnounced)
+		w.putServerAnnounced(n)
 	case notification.HeldSlots:
 		w.putByte(codeHeldSlots)
 		w.putString(n.Service)
@@ -136,6 +144,8 @@
 		return notification.Cancelled{Service: r.nextString(), Ticket: r.nextUvarint()}
 	case codeAttemptReported:
 		return notification.AttemptReported{Service: r.nextString(), Result: r.nextAttemptResult()}
+	case codeServerAnnounced:
+		return r.nextServerAnnounced()
 	case codeHeldSlots:
 		held := notification.HeldSlots{Service: r.nextString(), Host: uint32(r.nextUvarint())}
 		for range min(r.nextUvarint(), maxListLength) {
@@ -191,6 +201,25 @@
 	return request
 }
 
+func (w *writer) putServerAnnounced(n notification.ServerAnnounced) {
+	flags := byte(0)
+	if n.Announcement.IsLeaving {
+		flags |= flagLeaving
+	}
+	w.putString(n.Service)
+	w.putUvarint(uint64(n.Host))
+	w.putString(n.Incarnation)
+	w.putByte(flags)
+	w.putVarint(int64(n.Announcement.Pause))
+}
+
+func (r *reader) nextServerAnnounced() notification.ServerAnnounced {
+	return notification.ServerAnnounced{Service: r.nextString(), Host: uint32(r.nextUvarint()), Incarnation: r.nextString(),
+		Announcement: announcement.Announcement{IsLeaving: r.nextByte()&flagLeaving != 0, Pause: time.Duration(r.nextVarint())}}
+}
+
+// putAttemptResult appends an attempt result without its announcement, which [notification.ServerAnnounced] carries: hosts of
+// an earlier version reject a longer result, but only ignore a notification that they don't know.
 func (w *writer) putAttemptResult(result attemptresult.AttemptResult) {
 	w.putUvarint(result.Ticket)
 	w.putString(result.Incarnation)
--- a/io/datagram/socket_test.go
+++ b/io/datagram/socket_test.go
@@ -1,12 +1,14 @@
 package datagram
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 	"reflect"
 	"testing"
 	"time"
 
+	"redwingsill/core/announcement"
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/notification"
 	"redwingsill/core/placement"
@@ -28,6 +30,8 @@
 	notification.AttemptReported{Service: "s", Result: attemptresult.AttemptResult{Ticket: 7, Incarnation: "a", Status: attemptresult.TimedOut, Duration: time.Second, Running: -1, Waiting: 3}},
 	notification.HeldSlots{Service: "s", Host: 1<<32 - 1, Tickets: []uint64{1, 2, 3}},
 	notification.HeldSlots{Service: "s"},
+	notification.ServerAnnounced{Service: "s", Host: 1<<32 - 1, Incarnation: "a@1", Announcement: announcement.Announcement{IsLeaving: true}},
+	notification.ServerAnnounced{Service: "s", Host: 3, Incarnation: "a@1", Announcement: announcement.Announcement{Pause: time.Minute}},
 	notification.Ping{},
 	notification.Pong{},
 	notification.ReachabilityRequested{CoordinatorRevision: 1 << 40},
@@ -57,6 +61,15 @@
 	}
 }
 
+func TestHostsOfAnEarlierVersionCanReadAttemptResults(t *testing.T) {
+	result := attemptresult.AttemptResult{Ticket: 7, Incarnation: "a", Running: -1, Waiting: -1}
+	plain := encode(notification.AttemptReported{Service: "s", Result: result}, now)
+	result.Announcement.IsLeaving = true
+	if got := encode(notification.AttemptReported{Service: "s", Result: result}, now); !bytes.Equal(got, plain) {
+		t.Errorf("got % x, want % x", got, plain)
+	}
+}
+
 // FuzzDecode checks that a notification that decodes from any bytes is unchanged when it is encoded and decoded again.
 func FuzzDecode(f *testing.F) {
 	for _, n := range notifications {
--- a/io/slotclient/slotclient.go
+++ b/io/slotclient/slotclient.go
@@ -52,15 +52,19 @@
 	coordinatorRevision atomic.Int64
 	// requestedAt has, by service, the time of the last slot request from another host.
 	requestedAt sync.Map
+	// onAnnouncement receives what a backend server has announced to another host.
+	onAnnouncement func(from netip.AddrPort, n notification.ServerAnnounced)
 }
 
 // New returns the slot client of a host. The hostID must differ between hosts and between starts. The function
 // acceptsRequests reports whether this host gives out slots to others, and ownReachability returns its record of when
-// it reached the store.
+// it reached the store. The function onAnnouncement receives what a backend server has announced to another host; it must not
+// block.
 func New(name string, hostID uint32, acceptsRequests func() bool, ownReachability func() reachability.Reachability,
-	slotServer *slotserver.SlotServer, socket *datagram.Socket, directory *rcu.Value[directory.Directory], now func() time.Time, log *slog.Logger) *SlotClient {
+	onAnnouncement func(from netip.AddrPort, n notification.ServerAnnounced), slotServer *slotserver.SlotServer, socket *datagram.Socket, directory *rcu.Value[directory.Directory], now func() time.Time, log *slog.Logger) *SlotClient {
 	return &SlotClient{name: name, hostID: hostID, now: now, log: log, acceptsRequests: acceptsRequests, reachability: ownReachability,
-		slotServer: slotServer, socket: socket, directory: directory, unresponsive: rcu.New(map[netip.AddrPort]time.Time{})}
+		slotServer: slotServer, socket: socket, directory: directory, unresponsive: rcu.New(map[netip.AddrPort]time.Time{}),
+		onAnnouncement: onAnnouncement}
 }
 
 // Acquire waits for a slot for a request, whose ticket it assigns. It returns the slot and its placement, or an empty slot
@@ -162,6 +166,9 @@
 		c.slotServer.Release(s.service, r)
 		return
 	}
+	if !r.Announcement.IsZero() {
+		c.send(s.host, notification.ServerAnnounced{Service: s.service, Host: c.hostID, Incarnation: s.Incarnation, Announcement: r.Announcement})
+	}
 	c.send(s.host, notification.AttemptReported{Service: s.service, Result: r})
 }
 
@@ -200,6 +207,8 @@
 		c.slotServer.Cancel(n.Service, n.Ticket)
 	case notification.AttemptReported:
 		c.slotServer.Release(n.Service, n.Result)
+	case notification.ServerAnnounced:
+		c.onAnnouncement(from, n)
 	case notification.HeldSlots:
 		c.slotServer.ReclaimUnlisted(n.Service, n.Host, n.Tickets, c.now().Add(-minReclaimAge))
 	case notification.Ping:
--- a/io/slotclient/slotclient_test.go
+++ b/io/slotclient/slotclient_test.go
@@ -13,9 +13,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"redwingsill/core/announcement"
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/directory"
 	"redwingsill/core/instance"
+	"redwingsill/core/notification"
 	"redwingsill/core/placement"
 	"redwingsill/core/rcu"
 	"redwingsill/core/reachability"
@@ -39,7 +41,9 @@
 	slotServer      *slotserver.SlotServer
 	client          *slotclient.SlotClient
 	acceptsRequests atomic.Bool
-	stop            func()
+	// announced receives what other hosts report that a backend server has announced.
+	announced chan notification.ServerAnnounced
+	stop      func()
 }
 
 // newHosts starts hosts that know each other and one backend server with two slots. The first host returned is the
@@ -48,11 +52,12 @@
 	hosts := rcu.New(directory.Directory{})
 	var all []*host
 	for i := range n {
-		h := &host{name: fmt.Sprintf("h%d", i), address: freeAddress(), slotServer: slotserver.New(time.Now)}
+		h := &host{name: fmt.Sprintf("h%d", i), address: freeAddress(), slotServer: slotserver.New(time.Now), announced: make(chan notification.ServerAnnounced, 10)}
 		h.acceptsRequests.Store(true)
 		socket, closeSocket, err := datagram.New(h.address.String(), time.Now)
 		Expect(err).NotTo(HaveOccurred())
-		h.client = slotclient.New(h.name, uint32(i+1), h.acceptsRequests.Load, zeroReachability, h.slotServer, socket, hosts, time.Now, slog.New(slog.DiscardHandler))
+		h.client = slotclient.New(h.name, uint32(i+1), h.acceptsRequests.Load, zeroReachability,
+			func(_ netip.AddrPort, n notification.ServerAnnounced) { h.announced <- n }, h.slotServer, socket, hosts, time.Now, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(context.Background())
 		stopped := make(chan struct{})
 		go func() {
@@ -98,6 +103,21 @@
 func (h *host) running() int { return h.slotServer.Pool("s").Running() }
 
 var _ = Describe("acquiring a slot", func() {
+	It("tells the host that gave out the slot what the server announced, with results and with unused slots", func() {
+		hosts := newHosts(2)
+		for _, status := range []attemptresult.Status{attemptresult.Answered, attemptresult.Unsent} {
+			slot, _ := hosts[1].acquire(time.Second)
+			slot.Release(attemptresult.AttemptResult{Incarnation: slot.Incarnation, Status: status, Running: -1, Waiting: -1,
+				Announcement: announcement.Announcement{IsLeaving: true}})
+			var got notification.ServerAnnounced
+			Eventually(hosts[0].announced, "1s").Should(Receive(&got))
+			Expect(got.Service).To(Equal("s"))
+			Expect(got.Incarnation).To(Equal("x@0"))
+			Expect(got.Announcement.IsLeaving).To(BeTrue())
+			Eventually(hosts[0].running, "1s").Should(BeZero())
+		}
+	})
+
 	It("asks the service's top-ranked host, and releases the slot there", func() {
 		all := newHosts(3)
 		slot, placed := all[1].acquire(time.Second)
@@ -162,7 +182,7 @@
 		socket, closeSocket, err := datagram.New(all[0].address.String(), time.Now)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(closeSocket)
-		restarted := slotclient.New(all[0].name, 9, func() bool { return true }, zeroReachability, slotserver.New(time.Now), socket, rcu.New(directory.Directory{}), time.Now, slog.New(slog.DiscardHandler))
+		restarted := slotclient.New(all[0].name, 9, func() bool { return true }, zeroReachability, func(netip.AddrPort, notification.ServerAnnounced) {}, slotserver.New(time.Now), socket, rcu.New(directory.Directory{}), time.Now, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		go restarted.Receive(ctx)
