Leave backend servers alone for the time of their Retry-After

A backend server that turns a request away may say for how long it wants no requests from that host (503 with Retry-After). Hosts went on sending, and told callers to come again after 0.1 s.

The Retry-After is read in all its forms, bounded, and recorded with what else the server has announced; an unreadable one is logged. The host checks the record before each send, and the pool that gave out the slot learns it with the result, so that it gives that host no slots there meanwhile. Other servers take the work that they can. core/pausewait decides on the rest: a request waits if the pause is short beside its deadline, and is otherwise refused at once with a Retry-After that covers the pause, later for less urgent ranks and spread within a rank. After the pause the host gets one slot at a time there until an answer comes. Unlike the block of a host that can't connect, answers to other hosts don't end a pause.

Grants and releases are not requests and are sent all the same. Moving keys away from an owner that pauses for long is left out.

--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -9,7 +9,12 @@
 	IsLeaving bool
 	// Pause is how long the server wants no requests from the host that received the answer, or 0.
 	Pause time.Duration
+	// InvalidRetryAfter is a Retry-After that can't be read, shortened, or empty. It has no effect.
+	InvalidRetryAfter string
 }
 
+// HasEffect reports whether the answer says something that counts for later requests.
+func (a Announcement) HasEffect() bool { return a.IsLeaving || a.Pause > 0 }
+
 // IsZero reports whether the answer says nothing of the server.
 func (a Announcement) IsZero() bool { return a == Announcement{} }
--- a/core/pool/constants.go
+++ b/core/pool/constants.go
@@ -26,6 +26,9 @@
 	// off only some hosts.
 	hostBlockTime       = 900 * time.Millisecond
 	minUnreachableHosts = 2
+	// returnTime is how long after the end of a pause, at most, a host gets only one slot at a time at the server that asked
+	// for the pause. An answer ends it earlier.
+	returnTime = time.Second
 	// maxFailureRate is the rate of failed requests, from 0 to 1, above which requests that are not idempotent prefer
 	// other servers, and [Pool.OwnerLoads] reports no free slots.
 	maxFailureRate = 0.25
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"redwingsill/core/pausewait"
 	"redwingsill/core/placement"
 	"redwingsill/core/slotrequest"
 )
@@ -76,6 +77,9 @@
 func (p Pool) refusalOf(n int, r slotrequest.SlotRequest, queuedAt, now time.Time) (placement.Refuse, bool) {
 	switch {
 	case n != p.commonQueue():
+		if s := p.servers[n]; s.isPausedFor(hostOf(r.Ticket), now) {
+			return p.refusalDuringPause(r, s.pausedUntil[hostOf(r.Ticket)], now)
+		}
 		if s := p.servers[n]; now.Before(s.backoffUntil) || s.isBlockedFor(hostOf(r.Ticket), now) {
 			return placement.Refuse{Ticket: r.Ticket, Reason: placement.Unreachable, RetryAfter: unreachableRetryAfter}, true
 		}
@@ -83,14 +87,44 @@
 	case p.needsOwner(r):
 		return placement.Refuse{Ticket: r.Ticket, Reason: placement.NoOwner, RetryAfter: noServerRetryAfter}, now.Sub(queuedAt) > maxOwnerWait
 	}
+	var pausedUntil time.Time
 	for _, s := range p.servers {
-		if !s.instance.IsLeaving && !s.isBlockedFor(hostOf(r.Ticket), now) && !slices.Contains(r.Excluded, s.incarnation) {
+		if s.instance.IsLeaving || slices.Contains(r.Excluded, s.incarnation) {
+			continue
+		}
+		if !s.isBlockedFor(hostOf(r.Ticket), now) {
 			return placement.Refuse{}, false
 		}
+		if until := s.pausedUntil[hostOf(r.Ticket)]; now.Before(until) && (pausedUntil.IsZero() || until.Before(pausedUntil)) {
+			pausedUntil = until
+		}
+	}
+	if !pausedUntil.IsZero() {
+		return p.refusalDuringPause(r, pausedUntil, now)
 	}
 	return placement.Refuse{Ticket: r.Ticket, Reason: placement.NoServers, RetryAfter: noServerRetryAfter}, true
 }
 
+// refusalDuringPause returns the refusal of a request that no server may get before a time, and whether it is refused.
+func (p Pool) refusalDuringPause(r slotrequest.SlotRequest, until, now time.Time) (placement.Refuse, bool) {
+	w := pausewait.PauseWait{Rest: until.Sub(now), Left: r.Deadline.Sub(now), ServiceTime: p.serviceTimeOf(r.Rank), Rank: r.Rank, Ticket: r.Ticket}
+	return placement.Refuse{Ticket: r.Ticket, Reason: placement.Overload, RetryAfter: w.RetryAfter()}, w.IsRefused()
+}
+
+// isHeldBack reports whether a request of a host has to wait, since a pause of the server for that host has just ended and
+// another request that was sent there since then has no result yet.
+func (p Pool) isHeldBack(s *server, host uint32, now time.Time) bool {
+	if !s.isReturning(host, now) {
+		return false
+	}
+	for itr := p.runs.Iterator(); !itr.Done(); {
+		if _, r, _ := itr.Next(); r.host == host && r.incarnation == s.incarnation && !r.startedAt.Before(s.pausedUntil[host]) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasFreeSlot reports whether a server that serves the queue has a free slot. It is always true for the common queue of
 // a sharded service, where requests may wait for an owner rather than a slot.
 func (p Pool) hasFreeSlot(n int, now time.Time) bool {
@@ -105,7 +139,8 @@
 	host := hostOf(r.Ticket)
 	if n != p.commonQueue() {
 		s := p.servers[n]
-		return n, s.freeSlots(p.share, now) > 0 && !now.Before(s.backoffUntil) && !s.isBlockedFor(host, now) && s.instance.AcceptsRequests(now)
+		return n, s.freeSlots(p.share, now) > 0 && !now.Before(s.backoffUntil) && !s.isBlockedFor(host, now) && s.instance.AcceptsRequests(now) &&
+			!p.isHeldBack(s, host, now)
 	}
 	if p.needsOwner(r) {
 		return 0, false
@@ -113,7 +148,7 @@
 	best, bestCost := -1, serverCost{}
 	serviceTime := p.serviceTimeOf(r.Rank)
 	for i, s := range p.servers {
-		if !p.isAvailable(s, now) || s.isBlockedFor(host, now) || slices.Contains(r.Excluded, s.incarnation) {
+		if !p.isAvailable(s, now) || s.isBlockedFor(host, now) || slices.Contains(r.Excluded, s.incarnation) || p.isHeldBack(s, host, now) {
 			continue
 		}
 		if c := s.cost(r, serviceTime, now); best < 0 || c.isLess(bestCost) {
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"time"
 
 	"redwingsill/core/instance"
@@ -28,11 +29,48 @@
 	// blockedUntil gives, by entry host, until when that host gets no slots here, since it could not connect. An answer
 	// to any host clears it.
 	blockedUntil map[uint32]time.Time
+	// pausedUntil gives, by entry host, until when the server wants no requests from that host. The host's entry stays for
+	// some time after that, or until an answer to it. Answers to other hosts don't clear it.
+	pausedUntil map[uint32]time.Time
 }
 
-// isBlockedFor reports whether a host gets no slots at the server, since it recently could not connect.
+// isBlockedFor reports whether a host gets no slots at the server, since it recently could not connect, or since the server
+// wants no requests from it.
 func (s server) isBlockedFor(host uint32, now time.Time) bool {
-	return now.Before(s.blockedUntil[host])
+	return now.Before(s.blockedUntil[host]) || s.isPausedFor(host, now)
+}
+
+// isPausedFor reports whether the server wants no requests from a host.
+func (s server) isPausedFor(host uint32, now time.Time) bool { return now.Before(s.pausedUntil[host]) }
+
+// isReturning reports whether a pause for a host has just ended and no answer to it has come since.
+func (s server) isReturning(host uint32, now time.Time) bool {
+	until, ok := s.pausedUntil[host]
+	return ok && !now.Before(until) && now.Before(until.Add(returnTime))
+}
+
+// withPause returns the server after it asked for a pause for a host. Of several such times the latest counts.
+func (s server) withPause(host uint32, pause time.Duration, now time.Time) server {
+	paused := map[uint32]time.Time{}
+	for other, until := range s.pausedUntil {
+		if now.Before(until.Add(returnTime)) {
+			paused[other] = until
+		}
+	}
+	if until := now.Add(pause); until.After(paused[host]) {
+		paused[host] = until
+	}
+	s.pausedUntil = paused
+	return s
+}
+
+// withReturned returns the server after an answer to a host. A pause that has not ended stays.
+func (s server) withReturned(host uint32, now time.Time) server {
+	if until, ok := s.pausedUntil[host]; ok && !now.Before(until) {
+		s.pausedUntil = maps.Clone(s.pausedUntil)
+		delete(s.pausedUntil, host)
+	}
+	return s
 }
 
 // withUnreachable returns the server after a host could not connect to it. The server is blocked for that host, and backs
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -68,8 +68,13 @@
 	if r.HasLoad() { // the reported numbers include the answered request, which s.running no longer counts
 		s.externalRequests, s.externalAt = max(0, r.Running+r.Waiting-s.running-1), now
 	}
+	host := hostOf(r.Ticket)
+	if r.Announcement.Pause > 0 {
+		s = s.withPause(host, r.Announcement.Pause, now)
+	}
 	switch r.Status {
 	case attemptresult.Answered:
+		s = s.withReturned(host, now)
 		s = s.withAttempt(false)
 		s.backoffs, s.blockedUntil = 0, nil
 		if ok {
@@ -84,7 +89,7 @@
 	case attemptresult.Refused:
 		s = s.withAttempt(true)
 	case attemptresult.Unreachable:
-		s = s.withUnreachable(hostOf(r.Ticket), now)
+		s = s.withUnreachable(host, now)
 	case attemptresult.Replaced, attemptresult.TimedOut:
 		s = s.withAttempt(true).withBackoff(now)
 	case attemptresult.NotOwner, attemptresult.Left, attemptresult.Unsent:
@@ -92,6 +97,16 @@
 	return p.withServer(n, s).withDispatchedAfter(r.Incarnation, now)
 }
 
+// WithPause returns the pool after a server asked for a pause for a host, and the placements that follow. Until its end the
+// host gets no slots there. The host is the upper half of its tickets.
+func (p Pool) WithPause(incarnation string, host uint32, pause time.Duration, now time.Time) (Pool, []placement.Placement) {
+	n, ok := p.serverIndex(incarnation)
+	if !ok {
+		return p, nil
+	}
+	return p.withServer(n, p.servers[n].withPause(host, pause, now)).withDispatchedAfter(incarnation, now)
+}
+
 // WithHeldSlots returns the pool after the slots that a host no longer holds were freed, and the placements that follow.
 // These are the slots given out before the given time whose tickets are not in held. Their results were lost on the way.
 func (p Pool) WithHeldSlots(host uint32, held map[uint64]bool, before, now time.Time) (Pool, []placement.Placement) {
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -100,7 +100,7 @@
 			slot.Release(f.unsentResult(slot.Incarnation))
 			s.history.Excluded = append(s.history.Excluded, slot.Incarnation)
 			if !f.backOff(ctx, s) {
-				return f.failureOutcome(ctx, s, failureRetryAfter)
+				return f.failureOutcome(ctx, s, max(failureRetryAfter, f.pauseOf(slot.Incarnation)))
 			}
 			continue
 		}
@@ -125,21 +125,30 @@
 		if response != nil && passesToCaller(response, result.Status, s.route) {
 			return response, nil
 		}
-		return f.failureOutcome(ctx, s, failureRetryAfter)
+		retryAfter := failureRetryAfter
+		if f.keyOf(s) != slotrequest.NoKey { // no other server can run it
+			retryAfter = max(retryAfter, f.pauseOf(slot.Incarnation))
+		}
+		return f.failureOutcome(ctx, s, retryAfter)
 	}
 }
 
 // mayBeSent reports whether a request may be sent to the server of its slot. A server that is leaving gets no requests that
-// others can run, and for a while those for its keys.
+// others can run, and for a while those for its keys. One that has asked for a pause gets none.
 func (f *Forwarder) mayBeSent(s *requestState, to instance.Instance) bool {
-	return to.AcceptsRequests(f.now()) && (!to.IsLeaving || f.keyOf(s) != slotrequest.NoKey)
+	return to.AcceptsRequests(f.now()) && (!to.IsLeaving || f.keyOf(s) != slotrequest.NoKey) && f.pauseOf(to.Incarnation()) == 0
+}
+
+// pauseOf returns the rest of the pause that a server has asked for, or 0.
+func (f *Forwarder) pauseOf(incarnation string) time.Duration {
+	return max(0, f.announcements.Read().PausedUntil(incarnation).Sub(f.now()))
 }
 
 // unsentResult returns the result for a slot that is given back unused. It tells the host that gave out the slot what the
 // server has announced to this host.
 func (f *Forwarder) unsentResult(incarnation string) attemptresult.AttemptResult {
 	return attemptresult.AttemptResult{Incarnation: incarnation, Status: attemptresult.Unsent, Running: -1, Waiting: -1,
-		Announcement: announcement.Announcement{IsLeaving: f.announcements.Read().IsLeaving(incarnation)}}
+		Announcement: announcement.Announcement{IsLeaving: f.announcements.Read().IsLeaving(incarnation), Pause: f.pauseOf(incarnation)}}
 }
 
 // passesToCaller reports whether the response to an attempt that is not Answered is sent to the caller unchanged.
--- a/io/origin/announcement.go
+++ b/io/origin/announcement.go
@@ -18,5 +18,13 @@
 	if id != "" && id != to.ID || id == "" && head.StatusCode == http.StatusMisdirectedRequest {
 		return announcement.Announcement{}
 	}
-	return announcement.Announcement{IsLeaving: head.Header.Get(c.headers.Leaving) == leavingValue}
+	a := announcement.Announcement{IsLeaving: head.Header.Get(c.headers.Leaving) == leavingValue}
+	if value := head.Header.Get("Retry-After"); value != "" && head.StatusCode == http.StatusServiceUnavailable {
+		pause, isValid := parseRetryAfter(head.Header, c.now())
+		a.Pause = pause
+		if !isValid {
+			a.InvalidRetryAfter = value[:min(len(value), maxLoggedValue)]
+		}
+	}
+	return a
 }
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -24,6 +24,10 @@
 	maxResponseReads = 4
 	// leavingValue is the value of the header field with which a server says that it leaves.
 	leavingValue = "1"
+	// maxPause bounds the time for which a server's Retry-After keeps requests away, against absurd values.
+	maxPause = time.Hour
+	// maxLoggedValue bounds the length in bytes of a header field's value that is passed on to be logged.
+	maxLoggedValue = 64
 	// headCapacity is the initial capacity in bytes of the buffer for a request's head, which grows for a longer head.
 	headCapacity = 1024
 	// readBufferSize is the size in bytes of a connection's read buffer, which fits the head of a typical response.
--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -24,6 +24,7 @@
 	storeCalls      *prometheus.CounterVec
 	rangesFreed     *prometheus.CounterVec
 	leavingServers  *prometheus.CounterVec
+	pauses          *prometheus.CounterVec
 }
 
 // New returns metrics with their collectors registered.
@@ -41,8 +42,10 @@
 			Help: "Key ranges that this host, as the coordinator, freed for a new owner, by service and reason."}, []string{"service", "reason"}),
 		leavingServers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_leaving_servers_total",
 			Help: "Backend servers that this host heard leave from their answers, by service."}, []string{"service"}),
+		pauses: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_pauses_total",
+			Help: "Answers in which a backend server asked this host for a pause, by service."}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.leavingServers)
+	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.leavingServers, m.pauses)
 	return m
 }
 
@@ -64,6 +67,9 @@
 // CountLeavingServer counts a backend server of a service whose answer said for the first time that it leaves.
 func (m *Metrics) CountLeavingServer(service string) { m.leavingServers.WithLabelValues(service).Inc() }
 
+// CountPause counts an answer in which a backend server of a service asked for a pause.
+func (m *Metrics) CountPause(service string) { m.pauses.WithLabelValues(service).Inc() }
+
 // CountStoreCall counts a call to the platform's key-value store. The parameter call is the operation, and result is
 // "Done" or an error kind.
 func (m *Metrics) CountStoreCall(call, result string) {
--- a/io/slotclient/slotclient.go
+++ b/io/slotclient/slotclient.go
@@ -166,7 +166,7 @@
 		c.slotServer.Release(s.service, r)
 		return
 	}
-	if !r.Announcement.IsZero() {
+	if r.Announcement.HasEffect() {
 		c.send(s.host, notification.ServerAnnounced{Service: s.service, Host: c.hostID, Incarnation: s.Incarnation, Announcement: r.Announcement})
 	}
 	c.send(s.host, notification.AttemptReported{Service: s.service, Result: r})
@@ -208,6 +208,9 @@
 	case notification.AttemptReported:
 		c.slotServer.Release(n.Service, n.Result)
 	case notification.ServerAnnounced:
+		if n.Announcement.Pause > 0 {
+			c.slotServer.Pause(n.Service, n.Incarnation, n.Host, n.Announcement.Pause)
+		}
 		c.onAnnouncement(from, n)
 	case notification.HeldSlots:
 		c.slotServer.ReclaimUnlisted(n.Service, n.Host, n.Tickets, c.now().Add(-minReclaimAge))
--- a/io/slotserver/slotserver.go
+++ b/io/slotserver/slotserver.go
@@ -54,6 +54,13 @@
 	s.update(s.pool(service), func(p pool.Pool) (pool.Pool, []placement.Placement) { return p.WithResult(r, s.now()) })
 }
 
+// Pause keeps slots of a backend server from a host, by its ID, for the time for which the server wants no requests from it.
+func (s *SlotServer) Pause(service, incarnation string, host uint32, pause time.Duration) {
+	s.update(s.pool(service), func(p pool.Pool) (pool.Pool, []placement.Placement) {
+		return p.WithPause(incarnation, host, pause, s.now())
+	})
+}
+
 // ReclaimUnlisted frees the slots of a service that a host got before the given time and whose tickets are not among
 // those given. The host is given by its ID, the upper half of its tickets.
 func (s *SlotServer) ReclaimUnlisted(service string, host uint32, tickets []uint64, before time.Time) {
