Count the rest of a pause in the expected wait

A request for a key of a pausing server was let into the queue though the rest of the pause and the work ahead of it together left too little time; it was refused only when the pause was over. The expected wait left out the pause. It is now part of it, at admission and at each check of the queue.

Test with the pause left out: Expected <int>: 7 to be > <int>: 10 refused at once. It passes now, and none of those that wait is refused later.

--- a/core/pool/pause_test.go
+++ b/core/pool/pause_test.go
@@ -113,6 +113,27 @@
 		Expect(h.pool.Running()).To(Equal(2))
 	})
 
+	It("has the requests refused at once that the queue after the pause would make late", func() {
+		h := newOwner(1)
+		h.request(keyed(1))
+		h.refuseWithPause(1, 900*time.Millisecond)
+		for ticket := uint64(2); ticket < 22; ticket++ {
+			r := keyed(ticket)
+			r.Deadline = h.now.Add(2 * time.Second)
+			h.request(r)
+		}
+		refusedAtOnce := len(h.refused)
+		for end := h.now.Add(2 * time.Second); h.now.Before(end); {
+			h.advance(150 * time.Millisecond)
+			for ticket := range h.placed {
+				h.finish(ticket, attemptresult.Answered, 150*time.Millisecond)
+				delete(h.placed, ticket)
+			}
+		}
+		Expect(refusedAtOnce).To(BeNumerically(">", 10))
+		Expect(h.refused).To(HaveLen(refusedAtOnce))
+	})
+
 	It("gets no slots for a host that reports the pause without a result", func() {
 		h := newHarness(false, server("x", "a", 3), server("y", "b", 9))
 		h.step(func(p pool.Pool) (pool.Pool, []placement.Placement) { return p.WithPause("x@0", 1, time.Minute, h.now) })
--- a/core/pool/wait.go
+++ b/core/pool/wait.go
@@ -8,7 +8,7 @@
 )
 
 // expectedWait estimates how long a new request would wait for a slot in queue n: the work ahead of it divided by the
-// queue's capacity. It is 0 if queueCapacity returns 0.
+// queue's capacity, after the rest of a pause of the queue's server. It is 0 if queueCapacity returns 0.
 func (p Pool) expectedWait(n int, r slotrequest.SlotRequest, now time.Time) time.Duration {
 	capacity, ahead := p.queueCapacity(n, now)
 	if capacity == 0 {
@@ -17,7 +17,16 @@
 	for rank, count := range p.queues[n].Ahead(r) {
 		ahead += float64(count) * float64(p.serviceTimeOf(rank))
 	}
-	return time.Duration(ahead / capacity)
+	return p.restOfPause(n, r, now) + time.Duration(ahead/capacity)
+}
+
+// restOfPause returns the rest of the pause that the server of queue n wants from the host of a request, or 0. It is 0 for the
+// common queue, whose requests other servers can run.
+func (p Pool) restOfPause(n int, r slotrequest.SlotRequest, now time.Time) time.Duration {
+	if n == p.commonQueue() {
+		return 0
+	}
+	return max(0, p.servers[n].pausedUntil[hostOf(r.Ticket)].Sub(now))
 }
 
 // queueCapacity returns the concurrency of the servers of queue n, and the work, in nanoseconds, that they are expected
@@ -56,7 +65,7 @@
 	}
 	p.queues[n].Each(func(r slotrequest.SlotRequest) bool {
 		serviceTime := p.serviceTimeOf(r.Rank)
-		wait := time.Duration(ahead / capacity)
+		wait := p.restOfPause(n, r, now) + time.Duration(ahead/capacity)
 		if left := r.Deadline.Sub(now); wait+time.Duration(minServiceTimeFraction*float64(serviceTime)) > left {
 			refused = append(refused, placement.Refuse{Ticket: r.Ticket, Reason: placement.Overload,
 				RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait+serviceTime-left))})
