--- a/io/forward/forwarder_test.go
+++ b/io/forward/forwarder_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"redwingsill/core/announcement"
+	"redwingsill/core/announcements"
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/backendservice"
 	"redwingsill/core/destination"
@@ -21,6 +23,7 @@
 	"redwingsill/core/instance"
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/notification"
 	"redwingsill/core/rcu"
 	"redwingsill/core/reachability"
 	"redwingsill/core/roster"
@@ -131,14 +134,14 @@
 	t.Cleanup(closeSocket)
 	hosts := rcu.New(directory.Directory{}.With("h", netip.MustParseAddrPort("127.0.0.1:9"), "ilo", 1))
 	slotClient := slotclient.New("h", 1, func() bool { return true }, func() reachability.Reachability { return reachability.Reachability{} },
-		slots, socket, hosts, time.Now, log)
+		func(netip.AddrPort, notification.ServerAnnounced) {}, slots, socket, hosts, time.Now, log)
 	routes := rcu.New(routing.Routing{Version: 1, Services: map[string]backendservice.BackendService{"s": {Name: "s", IsSharded: isSharded}},
 		Table: routetable.New(rule.Rule{Name: "a", Host: "a.example", Prefix: "/", IsIdempotent: isIdempotent, Timeout: 2 * time.Second,
 			Objective: time.Second, MaxAttempts: 2, Destinations: []destination.Destination{{Service: "s", Weight: 1}}})})
 	client, closeClient := origin.New(names, time.Now)
 	t.Cleanup(closeClient)
 	f := forward.New("ilo", forward.RetryBudget{Window: 10 * time.Second, Extra: retries}, routes, rcu.New(roster.New(server)), hosts,
-		slotClient, client, noMetrics{}, time.Now, log)
+		rcu.New(announcements.Announcements{}), func(string, instance.Instance, announcement.Announcement) {}, slotClient, client, noMetrics{}, time.Now, log)
 	frontEnd := httptest.NewServer(ingress.New(names, routes, f, time.Now, log))
 	t.Cleanup(frontEnd.Close)
 	return frontEnd.URL
--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"redwingsill/core/announcement"
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/instance"
 	"redwingsill/core/kind"
@@ -38,9 +39,11 @@
 // response.
 func (c *Client) Send(ctx context.Context, to instance.Instance, r Request, limit int) (*Response, attemptresult.AttemptResult, error) {
 	began := c.now()
+	var announced announcement.Announcement
 	// The load, Running and Waiting, is -1 until a response reports it.
 	newResult := func(status attemptresult.Status) attemptresult.AttemptResult {
-		return attemptresult.AttemptResult{Incarnation: to.Incarnation(), Status: status, Duration: c.now().Sub(began), Running: -1, Waiting: -1}
+		return attemptresult.AttemptResult{Incarnation: to.Incarnation(), Status: status, Duration: c.now().Sub(began), Running: -1, Waiting: -1,
+			Announcement: announced}
 	}
 	connection, err := c.conns.get(ctx, to.Address, limit, func(idle *conn) bool { return !r.takesNewConnection() && idle.accepts(r.AttemptID) })
 	if err != nil {
@@ -62,6 +65,11 @@
 	if !stop() {
 		err = errors.Join(err, ctx.Err())
 	}
+	announced = c.announcementOf(connection.head, to, r)
+	connection.head = nil
+	if announced.IsLeaving {
+		c.conns.closeIdle(to.Address)
+	}
 	if err != nil {
 		connection.reset()
 		switch {
@@ -76,7 +84,7 @@
 	if status != attemptresult.Answered && r.AttemptID != "" {
 		connection.recordFailure(r.AttemptID)
 	}
-	if connection.isReusableAfter(r, response) {
+	if connection.isReusableAfter(r, response) && !announced.IsLeaving {
 		c.conns.put(connection, response.keepAlive)
 	} else {
 		connection.close()
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -22,6 +22,8 @@
 	reader *bufio.Reader
 	// bounded is what reader reads from.
 	bounded *boundedReader
+	// head is the head of the last response to the current request, or nil.
+	head *http.Response
 	// address is the dialled address, by which the pool keeps and counts the connection.
 	address string
 	// failedAttempts holds the hashes of the IDs of the attempts over this connection that may be sent again. Such an
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -24,6 +24,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		from.head = response
 		// The body is never closed, since that would read the rest of it. It has no resources besides the connection.
 		from.bounded.startPart("body", maxEncodedBody)
 		if id := response.Header.Get(c.headers.AttemptID); id != r.AttemptID {
