--- a/io/origin/announcement_test.go
+++ b/io/origin/announcement_test.go
@@ -12,7 +12,7 @@
 	"redwingsill/io/origin"
 )
 
-var _ = Describe("the word that a backend server leaves", func() {
+var _ = Describe("the header field with which a backend server says that it leaves", func() {
 	DescribeTable("is taken from each answer of the server that was asked", func(answer string, want bool) {
 		server := newFakeServer(answer)
 		_, result, _ := send(context.Background(), newClient(), server, "one")
