Don't count grants that a server rejected towards its hold

Cause: a server of another service answers a grant with 400. Such a grant counted as one that may be in force, and the fencing grant of the move was repeated every 250 ms, so that the hold never ended.

Evidence: TestKeysMoveIfAServerOfAnotherServiceHasTheOwnersAddress failed before ("the keys moved 7.26s after the last grant that their owner acknowledged; it holds them for 4.08s") and passes now.

--- a/core/command/result.go
+++ b/core/command/result.go
@@ -13,7 +13,8 @@
 	Lost
 	// Unsent: the command did not reach the backend server.
 	Unsent
-	// Invalid: the backend server rejected the command, for example as malformed.
+	// Invalid: the server at the address rejected the command, which had no effect, for example as malformed or since it
+	// knows no such commands.
 	Invalid
 	// Replaced: another backend server answered at the address and did not carry out the command.
 	Replaced
--- a/core/ownership/replaced_test.go
+++ b/core/ownership/replaced_test.go
@@ -12,6 +12,9 @@
 	"redwingsill/core/ownership"
 )
 
+// otherService is the ID of a server of another service, which knows no commands.
+const otherService = "other service"
+
 // addressRun drives a coordinator against servers that answer at addresses: a command to another ID than the one that
 // runs at its address is answered Replaced, and one to an address where none runs is Unsent.
 type addressRun struct {
@@ -34,6 +37,8 @@
 		return command.Done
 	case "":
 		return command.Unsent
+	case otherService:
+		return command.Invalid
 	}
 	return command.Replaced
 }
@@ -104,3 +109,18 @@
 		t.Errorf("the successor was granted keys %v after the last grant to their owner, which holds them for %v", got, want)
 	}
 }
+
+func TestKeysMoveIfAServerOfAnotherServiceHasTheOwnersAddress(t *testing.T) {
+	r := newAddressRun(map[string]string{holder.Address: holder.ID, successor.Address: successor.ID})
+	r.runFor(2*time.Second, holder)
+	last := r.acquiredAt[holder.Incarnation()]
+	r.running[holder.Address] = otherService
+	r.runFor(2*time.Second, holder, successor)
+	for r.acquiredAt[successor.Incarnation()].IsZero() && r.now.Sub(last) < time.Minute {
+		r.runFor(20*time.Millisecond, successor)
+	}
+	moved := r.acquiredAt[successor.Incarnation()].Sub(last)
+	if held := modelTiming.HoldTime * 102 / 100; moved < held || moved > modelTiming.CallTimeout+held+time.Second {
+		t.Errorf("the keys moved %v after the last grant that their owner acknowledged; it holds them for %v", moved, held)
+	}
+}
--- a/core/ownership/serverstate.go
+++ b/core/ownership/serverstate.go
@@ -54,7 +54,7 @@
 }
 
 // withCompletion removes a call to the given address that has ended, and records what its result tells about the
-// incarnation. The expiry of the grant counts towards heldUntil unless the incarnation did not receive it.
+// incarnation. The expiry of the grant counts towards heldUntil unless the incarnation did not receive or rejected it.
 func (s serverState) withCompletion(id int64, result command.Result, address string) serverState {
 	switch result {
 	case command.Done, command.Stale:
@@ -69,8 +69,10 @@
 	}
 	s.pending = maps.Clone(s.pending)
 	delete(s.pending, id)
-	if result != command.Unsent && result != command.Replaced {
+	switch result {
+	case command.Done, command.Stale, command.Lost:
 		s.heldUntil = latest(s.heldUntil, until)
+	case command.Unsent, command.Invalid, command.Replaced:
 	}
 	return s
 }
