Check the connection, not the number of connections, after a repeated response

The spec guards that a connection is not used again after a response to an earlier request. It now compares the connections of the second and third request, which holds in either case.

--- a/io/backendserver/client_test.go
+++ b/io/backendserver/client_test.go
@@ -262,7 +262,9 @@
 var _ = Describe("A response that a server writes once more on a kept connection", func() {
 	DescribeTable("is not taken for the response to the next request", func(first string) {
 		earlier := ""
+		var conns sync.Map // the connection of each request, by its number
 		s := newRawServer(func(n int64, conn net.Conn, r *http.Request) {
+			conns.Store(n, conn)
 			id := r.Header.Get(backendserver.HeaderAttemptID)
 			if n == 1 {
 				earlier = fmt.Sprintf(first, backendserver.HeaderAttemptID, id)
@@ -279,9 +281,10 @@
 		o, _ := client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
 		Expect(o).To(BeAssignableToTypeOf(outcome.Unknown{})) // it may have run
 		_, _ = client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		Expect(s.conns).To(HaveLen(2))
+		second, _ := conns.Load(int64(2))
+		third, isSent := conns.Load(int64(3))
+		Expect(isSent).To(BeTrue())
+		Expect(third == second).To(BeFalse(), "a connection is used again after a response to an earlier request")
 	},
 		Entry("a refusal", "HTTP/1.1 503 Busy\r\n"+backendserver.HeaderRefused+": Shed\r\n%s: %s\r\nContent-Length: 0\r\n\r\n"),
 		Entry("an answer", "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nother"),
