--- a/io/backendserver/client_test.go
+++ b/io/backendserver/client_test.go
@@ -284,7 +284,7 @@
 		second, _ := conns.Load(int64(2))
 		third, isSent := conns.Load(int64(3))
 		Expect(isSent).To(BeTrue())
-		Expect(third == second).To(BeFalse(), "a connection is used again after a response to an earlier request")
+		Expect(third).NotTo(BeIdenticalTo(second), "a connection is used again after a response to an earlier request")
 	},
 		Entry("a refusal", "HTTP/1.1 503 Busy\r\n"+backendserver.HeaderRefused+": Shed\r\n%s: %s\r\nContent-Length: 0\r\n\r\n"),
 		Entry("an answer", "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nother"),
