HTTP/1.1 server that runs pipelined requests at the same time

Cause: net/http's server takes the next request of a connection only after the last response, so that callers which pipeline wait for the sum of the times, and it stops watching a connection for the caller's end once the first byte of a further request is there.

Change: io/http1 reads on with net/http's parser while up to 16 requests of a connection are at work, bounded for the host by requests and by bytes of responses that wait. Responses are sent in order. AwaitTurn lets a request that must not run twice wait until those before it are answered. Once a host drains, all that was read is answered and only the last response closes.

Tests through sockets: pipelines of 1 to 50 requests, pieces of 1 byte, a panic and errors in the middle, callers that close, half close or reset at each point, refusals before a body of up to 2 MB, bodies that stop, 100 Continue, drain, timeouts, held responses. Three of them can't pass with net/http's server: running together, leaving with requests unread, drain.

--- /dev/null
+++ b/io/http1/constants.go
@@ -0,0 +1,31 @@
+package http1
+
+import "time"
+
+const (
+	// readBufferSize is the size in bytes of a connection's read buffer. A caller that disconnects is noticed at once
+	// while fewer bytes than that wait to be read.
+	readBufferSize = 4 << 10
+	// maxPipelined bounds the requests of one connection that are read before the first of them is answered.
+	maxPipelined = 16
+	// maxReadAhead bounds the requests of all connections that were read while earlier ones of their connection were not
+	// answered.
+	maxReadAhead = 2048
+	// maxHeldBytes is the length in bytes of the responses that wait for those to earlier requests above which no further
+	// requests are read ahead.
+	maxHeldBytes = 8 << 20
+	// headSlack is added to the limit of a request's head, in bytes, as net/http does. A part of the head may be in the
+	// buffer before its limit applies.
+	headSlack = readBufferSize
+	// defaultHeaderBytes is the limit of a request's head if the limits set none.
+	defaultHeaderBytes = 1 << 20
+	// lingerTimeout is how long a connection is read after its last response. Closing it with unread bytes would reset
+	// it, and the caller could lose the response.
+	lingerTimeout = 500 * time.Millisecond
+	// acceptPause is the pause after an error in Accept, which is mostly a lack of file descriptors.
+	acceptPause = 20 * time.Millisecond
+	// shutdownPollInterval is the time between checks for connections that have become idle.
+	shutdownPollInterval = 20 * time.Millisecond
+	// maxSingleWrite is the size in bytes of a response up to which its head and body are written together.
+	maxSingleWrite = 64 << 10
+)
