Serve callers on the platform with pipelined requests

The front end uses io/http1. Requests that must not run twice wait for their turn. The limits in force apply to each request, so that no server is started for a change of limits. A request's timeout and objective count from its arrival, before its body is read.

--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -65,21 +65,26 @@
 }
 
 // Serve serves one request of a route. The key is used only if the service is sharded; it may be [slotrequest.NoKey].
-// The deadline is that of the request or of the route's timeout, whichever is earlier. Serve returns the response of
+// The deadline is that of the request or of the route's timeout, whichever is earlier. The timeout and the objective count
+// from the request's arrival, if that is known. Serve returns the response of
 // the backend server and no outcome, or, without a response, the outcome [outcome.NotRun] or [outcome.Unknown]. The
 // context must be cancelled when the caller disconnects.
 func (f *Forwarder) Serve(ctx context.Context, route *rule.Rule, r origin.Request, key int) (*origin.Response, outcome.Outcome) {
 	began := f.now()
+	arrived := r.Arrived
+	if arrived.IsZero() {
+		arrived = began
+	}
 	service := f.pickService(route)
 	f.countRequest(service, began)
-	deadline := began.Add(route.Timeout)
+	deadline := arrived.Add(route.Timeout)
 	if route.Timeout <= 0 || r.Deadline.Before(deadline) {
 		deadline = r.Deadline
 	}
 	r.Deadline = deadline
 	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(began))
 	defer cancel()
-	s := &requestState{route: route, request: r, service: service, key: key, objective: began.Add(route.Objective)}
+	s := &requestState{route: route, request: r, service: service, key: key, objective: arrived.Add(route.Objective)}
 	response, failure := f.serve(ctx, s)
 	f.record(ctx, s, response, failure, f.now().Sub(began))
 	return response, failure
--- a/io/forward/forwarder_test.go
+++ b/io/forward/forwarder_test.go
@@ -142,7 +142,7 @@
 	t.Cleanup(closeClient)
 	f := forward.New("ilo", forward.RetryBudget{Window: 10 * time.Second, Extra: retries}, routes, rcu.New(roster.New(server)), hosts,
 		rcu.New(announcements.Announcements{}), func(string, instance.Instance, announcement.Announcement) {}, slotClient, client, noMetrics{}, time.Now, log)
-	frontEnd := httptest.NewServer(ingress.New(names, routes, f, time.Now, log))
+	frontEnd := httptest.NewServer(ingress.New(names, 1<<20, routes, f, time.Now, log))
 	t.Cleanup(frontEnd.Close)
 	return frontEnd.URL
 }
--- a/io/ingress/constants.go
+++ b/io/ingress/constants.go
@@ -18,7 +18,7 @@
 	maxTimeout = 24 * time.Hour
 	// defaultMaxBody bounds a request body, in bytes, if the configuration sets no limit.
 	defaultMaxBody = 8 << 20
-	// maxTotalBodies is the total length in bytes of the bodies of requests in progress above which a further body is
-	// refused. Bodies that are still being read are not counted. The smallest host has 184 MB of memory.
-	maxTotalBodies = 64 << 20
+	// maxUncountedBody is the size in bytes up to which a request body does not count towards the memory of bodies. The
+	// callers of a host have some 4,000 connections.
+	maxUncountedBody = 4 << 10
 )
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,8 +19,10 @@
 	"redwingsill/core/routing"
 	"redwingsill/core/rule"
 	"redwingsill/core/slotrequest"
+	"redwingsill/io/bodybudget"
 	"redwingsill/io/forward"
 	"redwingsill/io/headers"
+	"redwingsill/io/http1"
 	"redwingsill/io/origin"
 )
 
@@ -36,24 +39,35 @@
 	// baseContext cancels all requests in progress when it is cancelled by cancelBase.
 	baseContext context.Context
 	cancelBase  context.CancelFunc
-	// bodyBytes is the memory in bytes of the bodies of requests in progress. A body is counted once it has been read.
-	bodyBytes      atomic.Int64
+	// bodies bounds the memory of the bodies of requests in progress.
+	bodies         *bodybudget.BodyBudget
 	activeRequests atomic.Int64
+	server         *http1.Server
 }
 
-// New returns a front end that forwards requests with f.
-func New(names headers.Names, routes *rcu.Value[routing.Routing], f *forward.Forwarder, now func() time.Time,
+// New returns a front end that forwards requests with f. The bodies of requests in progress use at most bodyMemory bytes,
+// without the short ones.
+func New(names headers.Names, bodyMemory int64, routes *rcu.Value[routing.Routing], f *forward.Forwarder, now func() time.Time,
 	log *slog.Logger) *Ingress {
-	i := &Ingress{headers: names, now: now, log: log, routing: routes, forwarder: f}
+	i := &Ingress{headers: names, now: now, log: log, routing: routes, forwarder: f, bodies: bodybudget.New(bodyMemory, maxUncountedBody)}
 	i.baseContext, i.cancelBase = context.WithCancel(context.Background())
+	i.server = http1.New(i, func() limits.Limits { return i.routing.Read().Limits }, log)
 	return i
 }
 
-// Drain prepares the shutdown of this host. From now on each response closes its connection. Requests are refused if
+// Serve accepts connections until the listener is closed; the returned channel then receives nil. The limits of the
+// current configuration apply to each request. The returned function closes the listener and all connections.
+func (i *Ingress) Serve(ctx context.Context, listener net.Listener) (<-chan error, func()) {
+	return i.server.Serve(ctx, listener)
+}
+
+// Drain prepares the shutdown of this host. From now on each connection is closed after the response to the last request
+// that was read from it. Requests are refused if
 // they arrive after lastRequest, when the platform should have stopped sending them to this host, or if they may still
 // run at stopAt. Drain cancels no requests; the caller must call [Ingress.CancelRequests] at stopAt.
 func (i *Ingress) Drain(lastRequest, stopAt time.Time) {
 	i.drain.Store(&drainSchedule{lastRequest: lastRequest, stopAt: stopAt})
+	i.server.Drain()
 }
 
 // CancelRequests cancels the requests in progress. Their callers get the outcome that is known by then.
@@ -62,48 +76,45 @@
 // ActiveRequests returns the number of requests in progress.
 func (i *Ingress) ActiveRequests() int64 { return i.activeRequests.Load() }
 
-// newServer returns an HTTP server for callers with the given limits.
-func (i *Ingress) newServer(l limits.Limits) *http.Server {
-	return &http.Server{Handler: i, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout,
-		MaxHeaderBytes: l.HeaderBytes, DisableGeneralOptionsHandler: true,
-		ErrorLog: slog.NewLogLogger(i.log.Handler(), slog.LevelDebug)}
-}
+// BodyBytes returns the memory in bytes of the bodies of requests in progress, without the short ones.
+func (i *Ingress) BodyBytes() int64 { return i.bodies.Reserved() }
+
+// ReadAhead returns the number of requests that were read before earlier ones of their connection were answered.
+func (i *Ingress) ReadAhead() int64 { return i.server.ReadAhead() }
 
 // ServeHTTP implements http.Handler.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	i.activeRequests.Add(1)
 	defer i.activeRequests.Add(-1)
-	now := i.now()
-	w.Header()["Date"] = nil // net/http would add a field of its own otherwise
-	schedule := i.drain.Load()
-	if schedule != nil {
-		w.Header().Set("Connection", "close")
+	arrived := i.now()
+	w.Header()["Date"] = nil // the server would add a field of its own otherwise
+	routes, route, refused := i.findRoute(r)
+	if refused == nil && !route.IsIdempotent && http1.IsAhead(r.Context()) {
+		// If an earlier response closes the connection, the caller sends this request again.
+		if !http1.AwaitTurn(r.Context()) {
+			return
+		}
+		routes, route, refused = i.findRoute(r) // a configuration may have come meanwhile
 	}
-	routes := i.routing.Read()
-	if !routes.IsLoaded() {
-		i.reject(w, r, http.StatusServiceUnavailable, unconfiguredRetryAfter, "no configuration yet")
+	if refused != nil {
+		i.reject(w, r, *refused)
 		return
 	}
-	path, _, _ := strings.Cut(requestTarget(r), "?")
-	route, ok := routes.Table.Find(r.Host, path)
-	if !ok {
-		i.reject(w, r, http.StatusNotFound, 0, "no route")
-		return
+	request, refused := i.parse(r, route, arrived)
+	if refused == nil && i.isTooLate(route, i.now()) {
+		refused = &refusal{http.StatusServiceUnavailable, otherHostRetryAfter, "this host stops"}
 	}
-	request, status, reason := i.parse(r, route, now)
-	if status != 0 {
-		i.reject(w, r, status, 0, reason)
+	if refused != nil {
+		i.reject(w, r, *refused)
 		return
 	}
-	if schedule != nil && schedule.rejects(now, expectedTime(route)) {
-		i.reject(w, r, http.StatusServiceUnavailable, otherHostRetryAfter, "this host stops")
-		return
+	body, release, status, reason := i.readBody(w, r, request.Deadline, routes.Limits.BodyBytes, arrived)
+	defer release()
+	if status == 0 && i.isTooLate(route, i.now()) {
+		status, reason = http.StatusServiceUnavailable, "this host stops"
 	}
-	body, status, reason := i.readBody(w, r, request.Deadline, routes.Limits.BodyBytes, now)
-	defer i.bodyBytes.Add(-int64(cap(body)))
 	if status != 0 {
-		w.Header().Set("Connection", "close")
-		i.reject(w, r, status, otherHostRetryAfter, reason)
+		i.reject(w, r, refusal{status, otherHostRetryAfter, reason})
 		return
 	}
 	request.Body = body
@@ -111,9 +122,6 @@
 	defer cancel()
 	defer context.AfterFunc(i.baseContext, cancel)()
 	response, failure := i.forwarder.Serve(ctx, route, request, parseKey(r.Header.Get(i.headers.Key)))
-	if i.drain.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
 	if response != nil {
 		i.writeResponse(w, r.Method, response)
 		return
@@ -128,29 +136,55 @@
 	}
 }
 
+// findRoute returns the current configuration and the route of a request, or why there is none.
+func (i *Ingress) findRoute(r *http.Request) (*routing.Routing, *rule.Rule, *refusal) {
+	routes := i.routing.Read()
+	if !routes.IsLoaded() {
+		return routes, nil, &refusal{http.StatusServiceUnavailable, unconfiguredRetryAfter, "no configuration yet"}
+	}
+	path, _, _ := strings.Cut(requestTarget(r), "?")
+	route, ok := routes.Table.Find(r.Host, path)
+	if !ok {
+		return routes, nil, &refusal{http.StatusNotFound, 0, "no route"}
+	}
+	return routes, route, nil
+}
+
+// isTooLate reports whether a request comes too late to be served before this host stops.
+func (i *Ingress) isTooLate(route *rule.Rule, now time.Time) bool {
+	schedule := i.drain.Load()
+	return schedule != nil && schedule.rejects(now, expectedTime(route))
+}
+
 // expectedTime returns how long a request of a route is expected to take.
 func expectedTime(route *rule.Rule) time.Duration {
 	return min(maxExpectedTime, max(minExpectedTime, time.Duration(float64(route.Objective)*expectedTimeRatio)))
 }
 
-// parse returns the request without its body. If the request is invalid, it returns a status above 0 and the reason.
-func (i *Ingress) parse(r *http.Request, route *rule.Rule, now time.Time) (origin.Request, int, string) {
+// parse returns the request without its body, or why it is invalid. Its deadline is that of the caller or of the route,
+// whichever is earlier, and counts from the request's arrival.
+func (i *Ingress) parse(r *http.Request, route *rule.Rule, arrived time.Time) (origin.Request, *refusal) {
 	request := origin.Request{Method: r.Method, Target: requestTarget(r), Host: r.Host, Header: r.Header,
-		AttemptID: r.Header.Get(i.headers.AttemptID), Deadline: now.Add(route.Timeout)}
+		AttemptID: r.Header.Get(i.headers.AttemptID), Arrived: arrived, Deadline: arrived.Add(maxTimeout)}
+	if route.Timeout > 0 {
+		request.Deadline = arrived.Add(route.Timeout)
+	}
 	if request.AttemptID == "" || len(r.Header[i.headers.AttemptID]) > 1 {
-		return request, http.StatusBadRequest, "the request needs one " + i.headers.AttemptID
+		return request, &refusal{http.StatusBadRequest, 0, "the request needs one " + i.headers.AttemptID}
 	}
 	if value := r.Header.Get(i.headers.Deadline); value != "" {
 		timeout, err := strconv.ParseInt(value, 10, 64)
 		if err != nil || timeout < 0 || timeout > int64(maxTimeout/time.Millisecond) {
-			return request, http.StatusBadRequest, i.headers.Deadline + " is no number of milliseconds"
+			return request, &refusal{http.StatusBadRequest, 0, i.headers.Deadline + " is no number of milliseconds"}
+		}
+		if deadline := arrived.Add(time.Duration(timeout) * time.Millisecond); deadline.Before(request.Deadline) {
+			request.Deadline = deadline
 		}
-		request.Deadline = now.Add(time.Duration(timeout) * time.Millisecond)
 	}
 	if value := r.Header.Get(i.headers.Key); value != "" && parseKey(value) == slotrequest.NoKey {
-		return request, http.StatusBadRequest, i.headers.Key + " is no key"
+		return request, &refusal{http.StatusBadRequest, 0, i.headers.Key + " is no key"}
 	}
-	return request, 0, ""
+	return request, nil
 }
 
 // requestTarget returns the path and query as the caller sent them.
--- a/io/ingress/response.go
+++ b/io/ingress/response.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"redwingsill/io/headers"
 	"redwingsill/io/origin"
@@ -19,24 +18,23 @@
 		}
 	}
 	if response.Header["Content-Type"] == nil {
-		h["Content-Type"] = nil // net/http would set a detected type otherwise
+		h["Content-Type"] = nil // another server might add a detected type
 	}
 	if method != http.MethodHead && response.Status >= http.StatusOK && response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	}
 	w.WriteHeader(response.Status)
-	_, _ = w.Write(response.Body) // fails only if the caller has disconnected; net/http then closes the connection
+	_, _ = w.Write(response.Body) // fails only if the caller has disconnected; the server then closes the connection
 }
 
-// reject responds to a request that is not forwarded, and logs the reason. It sends retryAfter as Retry-After if that
-// is above 0 and the status is 503 or 408.
-func (i *Ingress) reject(w http.ResponseWriter, r *http.Request, status int, retryAfter time.Duration, reason string) {
-	if retryAfter > 0 && (status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout) {
-		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+// reject responds to a request that is not forwarded, and logs the reason.
+func (i *Ingress) reject(w http.ResponseWriter, r *http.Request, with refusal) {
+	if with.retryAfter > 0 && (with.status == http.StatusServiceUnavailable || with.status == http.StatusRequestTimeout) {
+		w.Header().Set("Retry-After", strconv.FormatFloat(with.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	i.log.Info("request refused", "ID", r.Header.Get(i.headers.AttemptID), "Status", status, "Reason", reason, "Host", r.Host,
+	i.log.Info("request refused", "ID", r.Header.Get(i.headers.AttemptID), "Status", with.status, "Reason", with.reason, "Host", r.Host,
 		"Path", r.URL.Path, "Configuration", i.routing.Read().Version)
-	writeText(w, status, reason)
+	writeText(w, with.status, with.reason)
 }
 
 // writeText responds with a line of plain text.
