Refuse requests that wait for a slot at the end of a planned stop

Cause: a request that waited for a slot was sent to a backend server until the very end of the grace, and cut there 0.3 s before SIGKILL, also one that must not be repeated. TestRequestsThatWaitForASlotDuringAPlannedStop failed: it was sent, and its response took the time that it had.

Change: from 0.7 s before the remaining requests are cancelled nothing is sent any more; what waits is refused as not run. A body that comes in late is checked again. Bodies are read before a pipelined request waits for its turn, so that its caller's leaving is noticed meanwhile.

The product's front end pipelines too: request IDs keep its promises.

--- a/core/placement/reason.go
+++ b/core/placement/reason.go
@@ -10,4 +10,5 @@
 	NoOwner     Reason = "NoOwner"     // the key has no owner that serves it, and the request has waited too long
 	Unreachable Reason = "Unreachable" // the requesting host can't reach the key's owner, or the owner is backing off
 	Expired     Reason = "Expired"     // the deadline passed while the request waited
+	Stopping    Reason = "Stopping"    // the requesting host shuts down
 )
--- a/io/commandline/entry.go
+++ b/io/commandline/entry.go
@@ -16,11 +16,13 @@
 	"github.com/urfave/cli/v3"
 
 	"redwingsill/core/kind"
+	"redwingsill/core/limits"
 	"redwingsill/core/timing"
 	"redwingsill/io/caller"
 	"redwingsill/io/certificate"
 	"redwingsill/io/clock"
 	"redwingsill/io/entry"
+	"redwingsill/io/http1"
 	"redwingsill/io/identity"
 	"redwingsill/io/metrics"
 	"redwingsill/io/monitor"
@@ -95,7 +97,7 @@
 	tasks, wait := task.New(background)
 	defer wait()
 	failed := make(chan error, 2) // room for one error of each HTTP server, so that no send blocks
-	stopCallers, err := s.serveHTTP(tasks, s.callerAddress, caller.New(e).Handler(), "", failed)
+	stopCallers, err := s.serveCallers(background, caller.New(e).Handler(), log, failed)
 	if err != nil {
 		return err
 	}
@@ -128,18 +130,51 @@
 	return nil
 }
 
-// serveHTTP serves HTTP on an address, with TLS if the settings have a certificate. With TLS, clients need a certificate
-// signed by a CA in clientCAFile, unless that is empty. The returned function shuts the server down and waits for its requests
-// in flight, at most for shutdownTimeout. An error of the running server is sent to failed.
-func (s entrySettings) serveHTTP(tasks *task.Group, address string, h http.Handler, clientCAFile string, failed chan<- error) (func(), error) {
+// listen listens on an address, with TLS if the settings have a certificate. With TLS, clients need a certificate signed by a CA
+// in clientCAFile, unless that is empty.
+func (s entrySettings) listen(address, clientCAFile string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
+	if err != nil || s.certificateFile == "" {
+		return listener, err
+	}
+	return certificate.New(s.certificateFile, s.keyFile, clientCAFile).Listen(listener)
+}
+
+// serveCallers serves callers, also pipelined requests: those with a request ID run at most once however often they are sent.
+// The returned function and failed are as in [entrySettings.serveHTTP].
+func (s entrySettings) serveCallers(ctx context.Context, h http.Handler, log *slog.Logger, failed chan<- error) (func(), error) {
+	listener, err := s.listen(s.callerAddress, "")
 	if err != nil {
 		return nil, err
 	}
-	if s.certificateFile != "" {
-		if listener, err = certificate.New(s.certificateFile, s.keyFile, clientCAFile).Listen(listener); err != nil {
-			return nil, err
+	server := http1.New(h, func() limits.Limits { return limits.Limits{HeaderTimeout: readHeaderTimeout} }, log)
+	ended, closeServer := server.Serve(ctx, listener)
+	stopping := make(chan struct{})
+	go func() {
+		err := <-ended
+		select {
+		case <-stopping:
+		default:
+			failed <- errors.Join(errors.New("the HTTP server for callers ended"), err)
 		}
+	}()
+	return func() {
+		close(stopping)
+		_ = listener.Close() // connections that are accepted go on
+		ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+		defer cancel()
+		server.Shutdown(ctx)
+		closeServer()
+	}, nil
+}
+
+// serveHTTP serves HTTP on an address. With TLS, clients need a certificate signed by a CA in clientCAFile, unless that is empty.
+// The returned function shuts the server down and waits for its requests in flight, at most for shutdownTimeout. An error of the
+// running server is sent to failed.
+func (s entrySettings) serveHTTP(tasks *task.Group, address string, h http.Handler, clientCAFile string, failed chan<- error) (func(), error) {
+	listener, err := s.listen(address, clientCAFile)
+	if err != nil {
+		return nil, err
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	tasks.Go(func(context.Context) {
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -50,6 +50,9 @@
 	// announcements holds what backend servers have announced in their answers, and onAnnouncement receives more.
 	announcements  *rcu.Value[announcements.Announcements]
 	onAnnouncement func(requestID string, from instance.Instance, a announcement.Announcement)
+	// sending ends when no further attempt may begin.
+	sending     context.Context
+	stopSending context.CancelFunc
 }
 
 // New returns a forwarder for a host in dataCentre. Routes, servers, hosts and announcements are read for each request, so
@@ -59,9 +62,18 @@
 	hosts *rcu.Value[directory.Directory], announced *rcu.Value[announcements.Announcements],
 	onAnnouncement func(requestID string, from instance.Instance, a announcement.Announcement),
 	slotClient *slotclient.SlotClient, client *origin.Client, metrics Metrics, now func() time.Time, log *slog.Logger) *Forwarder {
-	return &Forwarder{dataCentre: dataCentre, now: now, log: log, metrics: metrics, routing: routes, roster: servers,
+	f := &Forwarder{dataCentre: dataCentre, now: now, log: log, metrics: metrics, routing: routes, roster: servers,
 		directory: hosts, slotClient: slotClient, origin: client, selectors: rcu.New(map[string]weighted.RoundRobin{}),
 		budgets: rcu.New(map[string]slidingbudget.Budget{}), retryBudget: rcu.New(retryBudget), announcements: announced, onAnnouncement: onAnnouncement}
+	f.sending, f.stopSending = context.WithCancel(context.Background())
+	return f
+}
+
+// StopSending makes all requests that wait for a slot at a time, and those that ask for one later, end as not run unless an earlier
+// attempt may have run. A host that shuts down calls it, since a request that is sent late would be cut at the end. Attempts in
+// progress go on.
+func (f *Forwarder) StopSending(at time.Time) {
+	time.AfterFunc(at.Sub(f.now()), f.stopSending)
 }
 
 // Serve serves one request of a route. The key is used only if the service is sharded; it may be [slotrequest.NoKey].
@@ -94,7 +106,7 @@
 func (f *Forwarder) serve(ctx context.Context, s *requestState) (*origin.Response, outcome.Outcome) {
 	for {
 		s.rounds++
-		slot, answer := f.slotClient.Acquire(ctx, f.newSlotRequest(s))
+		slot, answer := f.acquire(ctx, s)
 		if refused, ok := answer.(placement.Refuse); ok {
 			s.refusalReason = refused.Reason
 			return f.failureOutcome(ctx, s, refused.RetryAfter)
@@ -138,6 +150,25 @@
 	}
 }
 
+// acquire asks for a slot until the context ends or no further attempt may begin.
+func (f *Forwarder) acquire(ctx context.Context, s *requestState) (slotclient.Slot, placement.Placement) {
+	refused := placement.Refuse{Reason: placement.Stopping, RetryAfter: failureRetryAfter}
+	if f.sending.Err() != nil {
+		return slotclient.Slot{}, refused
+	}
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(f.sending, cancel)()
+	slot, answer := f.slotClient.Acquire(waiting, f.newSlotRequest(s))
+	if f.sending.Err() == nil {
+		return slot, answer
+	}
+	if _, ok := answer.(placement.Place); ok {
+		slot.Release(f.unsentResult(slot.Incarnation))
+	}
+	return slotclient.Slot{}, refused
+}
+
 // mayBeSent reports whether a request may be sent to the server of its slot. A server that is leaving gets no requests that
 // others can run, and for a while those for its keys. One that has asked for a pause gets none.
 func (f *Forwarder) mayBeSent(s *requestState, to instance.Instance) bool {
--- a/io/ingress/body.go
+++ b/io/ingress/body.go
@@ -10,14 +10,13 @@
 	"redwingsill/core/kind"
 )
 
-// readBody returns the whole request body, of at most limit bytes; a limit of 0 means defaultMaxBody. If that fails, it
-// returns a status above 0 and the reason. In either case the returned function must be called when the body is no
-// longer needed.
+// readBody returns the whole request body, of at most limit bytes, or why it can't; a limit of 0 means defaultMaxBody. In
+// either case the returned function must be called when the body is no longer needed.
 //
 // The body is read before a slot is asked for, so that a slow caller holds no slot of a backend server.
-func (i *Ingress) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time, limit int64, now time.Time) ([]byte, func(), int, string) {
+func (i *Ingress) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time, limit int64, now time.Time) ([]byte, func(), *refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, func() {}, 0, ""
+		return nil, func() {}, nil
 	}
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -34,15 +33,15 @@
 	var failed net.Error
 	switch {
 	case kind.Is(err, kind.Full):
-		return nil, release, http.StatusServiceUnavailable, "too many long bodies at the same time"
+		return nil, release, &refusal{http.StatusServiceUnavailable, otherHostRetryAfter, "too many long bodies at the same time"}
 	case kind.Is(err, kind.Invalid):
-		return nil, release, http.StatusRequestEntityTooLarge, "the body is too long"
+		return nil, release, &refusal{http.StatusRequestEntityTooLarge, otherHostRetryAfter, "the body is too long"}
 	case errors.As(err, &failed) && failed.Timeout():
-		return nil, release, http.StatusRequestTimeout, "the body did not come in time"
+		return nil, release, &refusal{http.StatusRequestTimeout, otherHostRetryAfter, "the body did not come in time"}
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, release, http.StatusBadRequest, "the body ended early"
+		return nil, release, &refusal{http.StatusBadRequest, otherHostRetryAfter, "the body ended early"}
 	case err != nil:
-		return nil, release, http.StatusBadRequest, "the body is broken: " + err.Error()
+		return nil, release, &refusal{http.StatusBadRequest, otherHostRetryAfter, "the body is broken: " + err.Error()}
 	}
-	return body, release, 0, ""
+	return body, release, nil
 }
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -89,32 +89,34 @@
 	arrived := i.now()
 	w.Header()["Date"] = nil // the server would add a field of its own otherwise
 	routes, route, refused := i.findRoute(r)
-	if refused == nil && !route.IsIdempotent && http1.IsAhead(r.Context()) {
-		// If an earlier response closes the connection, the caller sends this request again.
-		if !http1.AwaitTurn(r.Context()) {
-			return
-		}
-		routes, route, refused = i.findRoute(r) // a configuration may have come meanwhile
-	}
 	if refused != nil {
 		i.reject(w, r, *refused)
 		return
 	}
 	request, refused := i.parse(r, route, arrived)
-	if refused == nil && i.isTooLate(route, i.now()) {
-		refused = &refusal{http.StatusServiceUnavailable, otherHostRetryAfter, "this host stops"}
+	if refused == nil && i.isTooLate(route) {
+		refused = &hostStops
 	}
 	if refused != nil {
 		i.reject(w, r, *refused)
 		return
 	}
-	body, release, status, reason := i.readBody(w, r, request.Deadline, routes.Limits.BodyBytes, arrived)
+	body, release, refused := i.readBody(w, r, request.Deadline, routes.Limits.BodyBytes, arrived)
 	defer release()
-	if status == 0 && i.isTooLate(route, i.now()) {
-		status, reason = http.StatusServiceUnavailable, "this host stops"
+	if refused == nil && !route.IsIdempotent && http1.IsAhead(r.Context()) {
+		// If an earlier response closes the connection, the caller sends this request again.
+		if !http1.AwaitTurn(r.Context()) {
+			return
+		}
+		if _, route, refused = i.findRoute(r); refused == nil { // a configuration may have come meanwhile
+			request, refused = i.parse(r, route, arrived)
+		}
 	}
-	if status != 0 {
-		i.reject(w, r, refusal{status, otherHostRetryAfter, reason})
+	if refused == nil && i.isTooLate(route) {
+		refused = &hostStops
+	}
+	if refused != nil {
+		i.reject(w, r, *refused)
 		return
 	}
 	request.Body = body
@@ -150,10 +152,10 @@
 	return routes, route, nil
 }
 
-// isTooLate reports whether a request comes too late to be served before this host stops.
-func (i *Ingress) isTooLate(route *rule.Rule, now time.Time) bool {
+// isTooLate reports whether a request that is forwarded now comes too late to be served before this host stops.
+func (i *Ingress) isTooLate(route *rule.Rule) bool {
 	schedule := i.drain.Load()
-	return schedule != nil && schedule.rejects(now, expectedTime(route))
+	return schedule != nil && schedule.rejects(i.now(), expectedTime(route))
 }
 
 // expectedTime returns how long a request of a route is expected to take.
--- a/io/ingress/refusal.go
+++ b/io/ingress/refusal.go
@@ -1,6 +1,9 @@
 package ingress
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // refusal is the response to a request that is not forwarded.
 type refusal struct {
@@ -9,3 +12,6 @@
 	retryAfter time.Duration
 	reason     string
 }
+
+// hostStops refuses a request that would not end before this host stops.
+var hostStops = refusal{http.StatusServiceUnavailable, otherHostRetryAfter, "this host stops"}
