A request of which no byte was written has not run

Cause: a server resets connections beyond its limit.

Change: a write that fails without a byte is Unreachable.

--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -61,7 +61,7 @@
 		return nil, newResult(attemptresult.Failed), newError("set request deadline", kind.Unknown, err)
 	}
 	stop := context.AfterFunc(ctx, connection.abort)
-	response, err := c.exchange(connection, to, r, remaining)
+	response, isWritten, err := c.exchange(connection, to, r, remaining)
 	if !stop() {
 		err = errors.Join(err, ctx.Err())
 	}
@@ -73,6 +73,8 @@
 	if err != nil {
 		connection.reset()
 		switch {
+		case !isWritten && ctx.Err() == nil && !isTimeout(err): // the connection had ended before
+			return nil, newResult(attemptresult.Unreachable), err
 		case errors.Is(ctx.Err(), context.Canceled):
 			return nil, newResult(attemptresult.Left), err
 		case ctx.Err() != nil, isTimeout(err):
@@ -115,13 +117,17 @@
 	return attemptresult.Answered
 }
 
-// exchange writes a request with the remaining time to its deadline, and reads its response. A long body is written concurrently, since the server may respond
-// before it has read the whole body.
-func (c *Client) exchange(connection *conn, to instance.Instance, r Request, remaining time.Duration) (*Response, error) {
+// exchange writes a request with the remaining time to its deadline, and reads its response. A long body is written concurrently,
+// since the server may respond before it has read the whole body. It also reports whether the server may have got the request:
+// it has not if no byte could be written.
+func (c *Client) exchange(connection *conn, to instance.Instance, r Request, remaining time.Duration) (response *Response, isWritten bool, err error) {
 	head := c.encodeHead(to, r, remaining)
 	sent := make(chan error, 1)
 	if len(r.Body) <= maxInlineBody {
-		_, err := connection.Write(append(head, r.Body...))
+		n, err := connection.Write(append(head, r.Body...))
+		if n == 0 && err != nil {
+			return nil, false, newError("write request", kind.Unavailable, err)
+		}
 		sent <- err
 	} else {
 		go func() { // ends at the latest when the connection is reset below
@@ -132,7 +138,7 @@
 			sent <- err
 		}()
 	}
-	response, err := c.readResponse(connection, r)
+	response, err = c.readResponse(connection, r)
 	select {
 	case writeErr := <-sent:
 		if writeErr != nil && err == nil {
@@ -148,7 +154,7 @@
 			err = errors.Join(err, writeErr)
 		}
 	}
-	return response, err
+	return response, true, err
 }
 
 // CloseExpired closes idle connections that must no longer be reused. It is to be called periodically.
