Cheaper slot requests and ticks in large pools

Cause: a freed slot searched all runs for the server's oldest one, and each tick passed over all keys with recent requests, some 14,000 at 1,600 requests a second, ten times a second.

Change: a server keeps the times of its slots; keys are pruned once a second.

Benchmark of 300 servers beside a busy machine, before and after: a keyed request and its result 37 and 25 us, an unkeyed one 69 and 61 us, a tick of a sharded pool 3,250 and 33 us.

--- a/core/keyload/keyload.go
+++ b/core/keyload/keyload.go
@@ -14,12 +14,17 @@
 // halfLife is the time in which a count decays to half. It is short, since hot key ranges last only some seconds.
 const halfLife = 1500 * time.Millisecond
 
+// pruneInterval is the time between two passes over all keys to drop those with few requests.
+const pruneInterval = time.Second
+
 // minCount is the decayed number of requests below which a key is dropped.
 const minCount = 0.02
 
 // Load is the decayed number of requests for each key. It is immutable.
 type Load struct {
 	keys *immutable.Map[int, count]
+	// prunedAt is the time of the last pass over all keys.
+	prunedAt time.Time
 }
 
 // New returns an empty load.
@@ -28,7 +33,8 @@
 // WithRequest counts one more request for a key.
 func (l Load) WithRequest(key int, now time.Time) Load {
 	c, _ := l.keys.Get(key)
-	return Load{keys: l.keys.Set(key, count{value: c.decayedAt(now) + 1, updatedAt: now})}
+	l.keys = l.keys.Set(key, count{value: c.decayedAt(now) + 1, updatedAt: now})
+	return l
 }
 
 // Rates returns the request rate of each key at now.
@@ -48,15 +54,19 @@
 	return keyrates.New(keys, rates)
 }
 
-// Pruned returns the load without the keys whose count has decayed below minCount.
+// Pruned returns the load without the keys whose count has decayed below minCount. It does nothing within pruneInterval of the
+// last time that it did something.
 func (l Load) Pruned(now time.Time) Load {
+	if now.Sub(l.prunedAt) < pruneInterval {
+		return l
+	}
 	keys := l.keys
 	for itr := l.keys.Iterator(); !itr.Done(); {
 		if key, c, _ := itr.Next(); c.decayedAt(now) < minCount {
 			keys = keys.Delete(key)
 		}
 	}
-	return Load{keys: keys}
+	return Load{keys: keys, prunedAt: now}
 }
 
 // IsZero reports whether no requests are counted.
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -65,11 +65,7 @@
 func (p Pool) withRun(r slotrequest.SlotRequest, n int, now time.Time) Pool {
 	s := *p.servers[n]
 	p.runs = p.runs.Set(r.Ticket, run{incarnation: s.incarnation, rank: r.Rank, startedAt: now, deadline: r.Deadline, host: hostOf(r.Ticket), key: r.Key})
-	if s.running == 0 {
-		s.oldestStart = now
-	}
-	s.running++
-	return p.withServer(n, s)
+	return p.withServer(n, s.withStart(now))
 }
 
 // refusalOf returns the refusal of a request of queue n whose deadline has not passed, and true if the request must be
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"redwingsill/core/instance"
@@ -11,9 +12,8 @@
 type server struct {
 	instance    instance.Instance
 	incarnation string
-	// running counts the slots that the pool has given out, and oldestStart is when the oldest of them was given out.
-	running     int
-	oldestStart time.Time
+	// starts has the time of each slot that the pool has given out, in no order. It is copied on write.
+	starts []time.Time
 	// slowness is the moving average of response times relative to the mean service time of their rank, and samples the
 	// number of these response times.
 	slowness float64
@@ -91,6 +91,26 @@
 	return s
 }
 
+// running returns the number of slots that the pool has given out.
+func (s server) running() int { return len(s.starts) }
+
+// withStart returns the server after a slot was given out.
+func (s server) withStart(at time.Time) server {
+	s.starts = append(slices.Clip(s.starts), at)
+	return s
+}
+
+// withoutStart returns the server after a slot that was given out at a time was freed.
+func (s server) withoutStart(at time.Time) server {
+	if n := slices.IndexFunc(s.starts, at.Equal); n >= 0 {
+		s.starts = slices.Delete(slices.Clone(s.starts), n, n+1)
+	}
+	return s
+}
+
+// oldestStart returns when the oldest slot in use was given out. There must be one.
+func (s server) oldestStart() time.Time { return slices.MinFunc(s.starts, time.Time.Compare) }
+
 // slownessFactor returns the server's slowness, or 1 before any response time was measured.
 func (s server) slownessFactor() float64 {
 	if s.samples == 0 {
@@ -114,7 +134,7 @@
 	if now.Sub(s.externalAt) > externalCountLifetime {
 		external = 0
 	}
-	return limit - s.running - external
+	return limit - s.running() - external
 }
 
 // expectedTime returns how long a request with the given average service time takes on the server, including retries
@@ -124,9 +144,9 @@
 	if now.Before(s.instance.WarmUpEnd) {
 		factor *= warmUpFactor
 	}
-	if s.running > 0 && serviceTime > 0 {
+	if s.running() > 0 && serviceTime > 0 {
 		// An overdue request shows that the server is slow before its answer arrives.
-		factor = max(factor, overdueFactor*float64(now.Sub(s.oldestStart))/float64(serviceTime))
+		factor = max(factor, overdueFactor*float64(now.Sub(s.oldestStart()))/float64(serviceTime))
 	}
 	return time.Duration(float64(serviceTime) * factor / (1 - min(s.failureRate, maxCountedFailureRate)))
 }
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -65,8 +65,8 @@
 		return p, nil
 	}
 	s := *p.servers[n]
-	if r.HasLoad() { // the reported numbers include the answered request, which s.running no longer counts
-		s.externalRequests, s.externalAt = max(0, r.Running+r.Waiting-s.running-1), now
+	if r.HasLoad() { // the reported numbers include the answered request, which s.running() no longer counts
+		s.externalRequests, s.externalAt = max(0, r.Running+r.Waiting-s.running()-1), now
 	}
 	host := hostOf(r.Ticket)
 	if r.Announcement.Pause > 0 {
@@ -163,21 +163,5 @@
 	if !ok {
 		return p
 	}
-	s := *p.servers[n]
-	s.running = max(0, s.running-1)
-	if s.running > 0 && s.oldestStart.Equal(r.startedAt) {
-		s.oldestStart = p.findOldestStart(r.incarnation)
-	}
-	return p.withServer(n, s)
-}
-
-// findOldestStart returns when the oldest slot in use of a server was given out, or the zero time.
-func (p Pool) findOldestStart(incarnation string) time.Time {
-	var oldest time.Time
-	for itr := p.runs.Iterator(); !itr.Done(); {
-		if _, r, _ := itr.Next(); r.incarnation == incarnation && (oldest.IsZero() || r.startedAt.Before(oldest)) {
-			oldest = r.startedAt
-		}
-	}
-	return oldest
+	return p.withServer(n, p.servers[n].withoutStart(r.startedAt))
 }
