Count the requests ahead in a queue by spans of due time

Cause: each request for a slot passed over all requests that wait to find out whether it can be served in time.

Change: the list counts requests by spans of 0.1 s. A property test compares with counting one by one.

--- a/core/pool/benchmark_test.go
+++ b/core/pool/benchmark_test.go
@@ -19,7 +19,7 @@
 // name gives the number of waiting requests; with 0, one request waits at the start.
 func BenchmarkRequest(b *testing.B) {
 	for _, isSharded := range []bool{false, true} {
-		for _, waiting := range []int{0, 50, 200} {
+		for _, waiting := range []int{0, 50, 200, 5000} {
 			b.Run(fmt.Sprintf("sharded=%v/waiting=%d", isSharded, waiting), func(b *testing.B) {
 				now := time.Unix(1000, 0)
 				var servers []instance.Instance
--- a/core/waitlist/sortkey.go
+++ b/core/waitlist/sortkey.go
@@ -1,6 +1,13 @@
 package waitlist
 
-import "redwingsill/core/slotrequest"
+import (
+	"time"
+
+	"redwingsill/core/slotrequest"
+)
+
+// bucketWidth is the span of due times in one bucket.
+const bucketWidth = int64(100 * time.Millisecond)
 
 // sortKey orders requests by rank, then those that can meet their objective before late ones, then by due time, then by
 // ticket. The due time is the objective, or the deadline of a late request.
@@ -19,3 +26,12 @@
 	}
 	return sortKey{rank: r.Rank, isLate: isLate, due: due.UnixNano(), ticket: r.Ticket}
 }
+
+// bucket returns the lowest sort key of the bucket: that of the same rank, lateness and span of due times.
+func (k sortKey) bucket() sortKey {
+	rest := k.due % bucketWidth
+	if rest < 0 {
+		rest += bucketWidth
+	}
+	return sortKey{rank: k.rank, isLate: k.isLate, due: k.due - rest}
+}
--- a/core/waitlist/waitlist.go
+++ b/core/waitlist/waitlist.go
@@ -16,11 +16,14 @@
 	requests *immutable.SortedMap[sortKey, slotrequest.SlotRequest]
 	// sortKeys gives the sort key of each ticket's request.
 	sortKeys *immutable.Map[uint64, sortKey]
+	// counts gives the number of requests in each bucket, so that Ahead need not pass over thousands of requests.
+	counts *immutable.SortedMap[sortKey, int]
 }
 
 // New returns an empty list.
 func New() Waitlist {
-	return Waitlist{requests: immutable.NewSortedMap[sortKey, slotrequest.SlotRequest](comparer{}), sortKeys: immutable.NewMap[uint64, sortKey](nil)}
+	return Waitlist{requests: immutable.NewSortedMap[sortKey, slotrequest.SlotRequest](comparer{}), sortKeys: immutable.NewMap[uint64, sortKey](nil),
+		counts: immutable.NewSortedMap[sortKey, int](comparer{})}
 }
 
 // Len returns the number of requests.
@@ -34,8 +37,10 @@
 
 // With returns the list with one more request. Late requests are ordered after those that can meet their objective.
 func (w Waitlist) With(r slotrequest.SlotRequest, isLate bool) Waitlist {
+	w = w.Without(r.Ticket)
 	key := sortKeyOf(r, isLate)
-	return Waitlist{requests: w.requests.Set(key, r), sortKeys: w.sortKeys.Set(r.Ticket, key)}
+	count, _ := w.counts.Get(key.bucket())
+	return Waitlist{requests: w.requests.Set(key, r), sortKeys: w.sortKeys.Set(r.Ticket, key), counts: w.counts.Set(key.bucket(), count+1)}
 }
 
 // Without returns the list without the ticket's request.
@@ -44,19 +49,31 @@
 	if !ok {
 		return w
 	}
-	return Waitlist{requests: w.requests.Delete(key), sortKeys: w.sortKeys.Delete(ticket)}
+	counts := w.counts.Delete(key.bucket())
+	if count, _ := w.counts.Get(key.bucket()); count > 1 {
+		counts = w.counts.Set(key.bucket(), count-1)
+	}
+	return Waitlist{requests: w.requests.Delete(key), sortKeys: w.sortKeys.Delete(ticket), counts: counts}
 }
 
 // Ahead returns, by rank, how many requests of the list would precede r if r could meet its objective.
 func (w Waitlist) Ahead(r slotrequest.SlotRequest) map[int]int {
 	ahead := map[int]int{}
 	key := sortKeyOf(r, false)
-	for itr := w.requests.Iterator(); !itr.Done(); {
-		other, waiting, _ := itr.Next()
-		if (comparer{}).Compare(other, key) >= 0 {
+	bucket := key.bucket()
+	for itr := w.counts.Iterator(); !itr.Done(); {
+		other, count, _ := itr.Next()
+		if (comparer{}).Compare(other, bucket) >= 0 {
+			break
+		}
+		ahead[other.rank] += count
+	}
+	itr := w.requests.Iterator()
+	for itr.Seek(bucket); !itr.Done(); {
+		if other, _, _ := itr.Next(); (comparer{}).Compare(other, key) >= 0 {
 			break
 		}
-		ahead[waiting.Rank]++
+		ahead[key.rank]++
 	}
 	return ahead
 }
--- a/core/waitlist/waitlist_test.go
+++ b/core/waitlist/waitlist_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"redwingsill/core/slotrequest"
 	"redwingsill/core/waitlist"
 )
@@ -24,6 +26,46 @@
 	return fmt.Sprint(tickets)
 }
 
+// countAhead counts one by one what Ahead counts.
+func countAhead(w waitlist.Waitlist, r slotrequest.SlotRequest) map[int]int {
+	ahead := map[int]int{}
+	w.With(r, false).Each(func(other slotrequest.SlotRequest) bool {
+		if other.Ticket != r.Ticket {
+			ahead[other.Rank]++
+		}
+		return other.Ticket != r.Ticket
+	})
+	return ahead
+}
+
+// The number of requests ahead decides on refusals. It must be the same as counted one by one, whatever was added, removed and
+// found late before.
+func TestAheadCountsWhatPrecedes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := waitlist.New()
+		drawRequest := func(ticket uint64) slotrequest.SlotRequest {
+			milliseconds := rapid.IntRange(-300, 1000)
+			return newRequest(ticket, rapid.IntRange(0, 2).Draw(t, "rank"), time.Duration(milliseconds.Draw(t, "objective"))*time.Millisecond,
+				time.Duration(milliseconds.Draw(t, "deadline"))*time.Millisecond)
+		}
+		for n := range rapid.IntRange(0, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				w = w.Without(uint64(rapid.IntRange(0, n).Draw(t, "ticket")))
+			case 1:
+				w = w.WithLateLast(start.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "now"))*time.Millisecond), func(int) time.Duration { return 100 * time.Millisecond })
+			default:
+				w = w.With(drawRequest(uint64(rapid.IntRange(0, n).Draw(t, "ticket"))), rapid.Bool().Draw(t, "late"))
+			}
+		}
+		r := drawRequest(1000)
+		want := countAhead(w, r)
+		if got := w.Ahead(r); fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("ahead: %v, want %v", got, want)
+		}
+	})
+}
+
 func TestOrder(t *testing.T) {
 	w := waitlist.New().
 		With(newRequest(1, 1, time.Second, 2*time.Second), false).
