Moves of many ranges at once cost the coordinator little

Cause: when a third of 300 servers is lost, some 500 ranges move at the same time, and the state was copied or searched whole for each of them: joining a range compared all holdings with all moves, a save copied all renewals for each range, renewals compared all holdings with all moves.

Change: sorted ranges are searched, maps are copied once a step, a plan adds all moves to the map in one pass. More than 8 ranges move at a time where a service has over 128 servers, one for each 16.

--- a/core/keymap/keymap.go
+++ b/core/keymap/keymap.go
@@ -68,15 +68,44 @@
 	return false
 }
 
+// WithAll is With for holdings without overlaps, in any order. It takes one pass over the map.
+func (m Map) WithAll(all []holding.Holding) Map {
+	if len(all) == 0 {
+		return m
+	}
+	added := slices.SortedFunc(slices.Values(all), byRange)
+	next := make([]holding.Holding, 0, len(m.holdings)+2*len(added))
+	next = append(next, added...)
+	n := 0
+	for _, old := range m.holdings {
+		for n < len(added) && added[n].Range.To < old.Range.From {
+			n++
+		}
+		from := old.Range.From
+		for i := n; i < len(added) && added[i].Range.From <= old.Range.To; i++ {
+			if from < added[i].Range.From {
+				next = append(next, old.WithRange(keyrange.Range{From: from, To: added[i].Range.From - 1}))
+			}
+			from = added[i].Range.To + 1
+		}
+		if from <= old.Range.To {
+			next = append(next, old.WithRange(keyrange.Range{From: from, To: old.Range.To}))
+		}
+	}
+	slices.SortFunc(next, byRange)
+	return Map{holdings: merged(next)}
+}
+
 // WithJoined is like With, but extends h to adjacent holdings of the same owner, so that one grant covers them all.
-// Holdings that overlap an excluded range are not joined.
+// Holdings that overlap an excluded range are not joined. The excluded ranges are sorted and have no overlaps.
 func (m Map) WithJoined(h holding.Holding, excluded []keyrange.Range) Map {
-	for _, other := range m.holdings {
-		isExcluded := slices.ContainsFunc(excluded, func(r keyrange.Range) bool { return r.Overlaps(other.Range) })
-		if other.Owner != h.Owner || isExcluded {
-			continue
+	// An adjacent holding ends one key before h, or begins one key after it.
+	first, _ := m.bounds(keyrange.Range{From: h.Range.From - 1, To: h.Range.To})
+	for _, other := range m.holdings[first:] {
+		if other.Range.From > h.Range.To+1 {
+			break
 		}
-		if other.Range.From <= h.Range.To+1 && h.Range.From <= other.Range.To+1 {
+		if other.Owner == h.Owner && !keyrange.OverlapsAny(excluded, other.Range) {
 			h.Range = keyrange.Range{From: min(h.Range.From, other.Range.From), To: max(h.Range.To, other.Range.To)}
 		}
 	}
@@ -127,15 +156,18 @@
 
 // Gaps returns the ranges that have no owner.
 func (m Map) Gaps() []keyrange.Range {
-	rest := []keyrange.Range{keyrange.All()}
+	var gaps []keyrange.Range
+	from := 0
 	for _, h := range m.holdings {
-		n := len(rest) - 1
-		rest = append(rest[:n], rest[n].Minus(h.Range)...)
-		if len(rest) == n {
-			break
+		if h.Range.From > from {
+			gaps = append(gaps, keyrange.Range{From: from, To: h.Range.From - 1})
 		}
+		from = h.Range.To + 1
+	}
+	if from <= keyrange.MaxKey {
+		gaps = append(gaps, keyrange.Range{From: from, To: keyrange.MaxKey})
 	}
-	return rest
+	return gaps
 }
 
 // KeyCount returns the number of keys of an owner.
--- a/core/keymap/keymap_test.go
+++ b/core/keymap/keymap_test.go
@@ -1,6 +1,7 @@
 package keymap_test
 
 import (
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -57,6 +58,31 @@
 	})
 }
 
+// A plan adds all moves in progress to the map at once. The result must be that of adding them one by one.
+func TestWithAllMatchesWith(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string, fence int64) []holding.Holding {
+			var all []holding.Holding
+			for from := rapid.IntRange(0, 20).Draw(t, name); from < 100; {
+				r := keyrange.Range{From: from, To: from + rapid.IntRange(0, 15).Draw(t, name)}
+				all = append(all, holding.Holding{Range: r, Owner: rapid.SampledFrom([]string{"a", "b"}).Draw(t, name), Fence: fence + rapid.Int64Range(0, 1).Draw(t, name)})
+				from = r.To + 1 + rapid.IntRange(0, 8).Draw(t, name)
+			}
+			return all
+		}
+		m := keymap.New(draw("old", 1)...)
+		added := draw("added", 2)
+		want := m
+		for _, h := range added {
+			want = want.With(h)
+		}
+		slices.Reverse(added)
+		if got := m.WithAll(added); !slices.Equal(got.Holdings(), want.Holdings()) {
+			t.Fatalf("%v with %v is %v, want %v", m.Holdings(), added, got.Holdings(), want.Holdings())
+		}
+	})
+}
+
 func TestNewResolvesOverlapsByHigherFencingToken(t *testing.T) {
 	m := keymap.New(
 		holding.Holding{Range: keyrange.Range{From: 0, To: 9}, Owner: "new", Fence: 2},
--- a/core/keyrange/keyrange.go
+++ b/core/keyrange/keyrange.go
@@ -2,7 +2,10 @@
 // sends with the request; it is not hashed.
 package keyrange
 
-import "strconv"
+import (
+	"sort"
+	"strconv"
+)
 
 // MaxKey is the highest key; the lowest is 0.
 const MaxKey = 65535
@@ -49,5 +52,32 @@
 	return rest
 }
 
+// MinusAll returns the parts of r outside of the given ranges, which are sorted and have no overlaps.
+func (r Range) MinusAll(sorted []Range) []Range {
+	parts := []Range{r}
+	for _, o := range sorted[firstEndingAtOrAfter(sorted, r.From):] {
+		if o.From > r.To {
+			break
+		}
+		n := len(parts) - 1
+		parts = append(parts[:n], parts[n].Minus(o)...)
+		if len(parts) == n {
+			break
+		}
+	}
+	return parts
+}
+
+// OverlapsAny reports whether a range shares a key with any of the given ranges, which are sorted and have no overlaps.
+func OverlapsAny(sorted []Range, r Range) bool {
+	n := firstEndingAtOrAfter(sorted, r.From)
+	return n < len(sorted) && sorted[n].Overlaps(r)
+}
+
+// firstEndingAtOrAfter returns the index of the first range that ends at a key or after it.
+func firstEndingAtOrAfter(sorted []Range, key int) int {
+	return sort.Search(len(sorted), func(i int) bool { return sorted[i].To >= key })
+}
+
 // String formats the range as "from-to".
 func (r Range) String() string { return strconv.Itoa(r.From) + "-" + strconv.Itoa(r.To) }
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -77,10 +77,10 @@
 	if o.isReservingFences {
 		o.reservedFence = save.ReservedFence
 	}
+	o.moves, o.renewals = maps.Clone(o.moves), maps.Clone(o.renewals)
 	for _, r := range o.savingRanges {
 		m := o.moves[r]
-		o = o.withoutMove(r)
-		o.renewals = maps.Clone(o.renewals)
+		delete(o.moves, r)
 		o.renewals[r] = renewal{owner: m.to, previousOwner: m.from, fence: m.toFence, handover: m.handover, acquiredAt: now, isUnacknowledged: true}
 	}
 	o.savingRanges = nil
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -207,12 +207,6 @@
 	return o
 }
 
-func (o Ownership) withoutMove(r keyrange.Range) Ownership {
-	o.moves = maps.Clone(o.moves)
-	delete(o.moves, r)
-	return o
-}
-
 // canOwn reports whether keys may be given to an incarnation, and whether it may keep those that it has.
 func (o Ownership) canOwn(incarnation string) bool {
 	m, ok := o.members[incarnation]
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -9,6 +9,9 @@
 	"redwingsill/core/reshard"
 )
 
+// serversPerMove is the number of backend servers of a large service for each range that may move at the same time.
+const serversPerMove = 16
+
 // maxRatesAge is the age up to which the rates of keys are used to plan moves for waiting requests. Reading the rates of
 // thousands of keys takes milliseconds.
 const maxRatesAge = 150 * time.Millisecond
@@ -20,7 +23,7 @@
 	if !isBalancing && (now.Sub(o.plannedAt) < o.timing.WaitingInterval || q.Waiting() == 0 && !o.hasOrphans()) {
 		return o
 	}
-	if len(o.moves) >= o.timing.MaxMoves && !o.hasOrphans() {
+	if len(o.moves) >= o.maxMoves() && !o.hasOrphans() {
 		return o
 	}
 	o.plannedAt = now
@@ -41,16 +44,17 @@
 		}
 		capacities[incarnation] = capacity
 	}
-	keys := o.keys
+	targets := make([]holding.Holding, 0, len(o.moves))
 	for r, m := range o.moves {
-		keys = keys.With(holding.Holding{Range: r, Owner: m.to, Fence: m.toFence})
+		targets = append(targets, holding.Holding{Range: r, Owner: m.to, Fence: m.toFence})
 	}
-	maxMoves := o.timing.MaxMoves - len(o.moves)
+	keys := o.keys.WithAll(targets)
+	maxMoves := o.maxMoves() - len(o.moves)
 	if len(keys.Holdings()) == 0 || len(keys.Gaps()) > 0 {
 		maxMoves = max(maxMoves, len(capacities))
 	}
 	for _, planned := range reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), q.MeanServiceTime()).WithRecentlyMoved(o.recentlyMoved(now)).Moves(max(0, maxMoves), isBalancing) {
-		if len(o.moves) >= o.timing.MaxMoves && !o.isOrphan(planned.Range) {
+		if len(o.moves) >= o.maxMoves() && !o.isOrphan(planned.Range) {
 			break
 		}
 		for _, r := range o.movableParts(planned.Range) {
@@ -60,6 +64,10 @@
 	return o
 }
 
+// maxMoves returns how many ranges may move at the same time. It grows with the servers, since more of them become overloaded
+// or are lost at the same time.
+func (o Ownership) maxMoves() int { return max(o.timing.MaxMoves, len(o.members)/serversPerMove) }
+
 // recentlyMoved returns the ranges that their owners got less than MoveCooldown ago.
 func (o Ownership) recentlyMoved(now time.Time) []keyrange.Range {
 	var ranges []keyrange.Range
@@ -95,15 +103,13 @@
 // gap.
 func (o Ownership) movableParts(r keyrange.Range) []keyrange.Range {
 	var parts []keyrange.Range
-	for _, part := range o.stationaryParts(r) {
+	for _, part := range r.MinusAll(o.movingRanges()) {
+		var held []keyrange.Range
 		for _, h := range o.keys.In(part) {
-			parts = append(parts, h.Range)
-		}
-		for _, gap := range o.keys.Gaps() {
-			if common, ok := gap.Intersect(part); ok {
-				parts = append(parts, common)
-			}
+			held = append(held, h.Range)
 		}
+		parts = append(parts, held...)
+		parts = append(parts, part.MinusAll(held)...) // the gaps
 	}
 	return parts
 }
--- a/core/ownership/renew.go
+++ b/core/ownership/renew.go
@@ -14,8 +14,9 @@
 	next := make(map[keyrange.Range]renewal, len(o.renewals)+1)
 	sent := map[string][]int64{}
 	holdTime := o.holdTime(now)
+	moving := o.movingRanges()
 	for _, h := range o.keys.Holdings() {
-		for _, part := range o.stationaryParts(h.Range) {
+		for _, part := range h.Range.MinusAll(moving) {
 			g, ok := o.renewals[part]
 			if !ok || g.owner != h.Owner || g.fence != h.Fence {
 				g = o.derivedRenewal(part, h)
@@ -46,22 +47,6 @@
 	return o, commands
 }
 
-// stationaryParts returns the parts of a range that are not moving.
-func (o Ownership) stationaryParts(r keyrange.Range) []keyrange.Range {
-	parts := []keyrange.Range{r}
-	for moving := range o.moves {
-		if !moving.Overlaps(r) {
-			continue
-		}
-		var next []keyrange.Range
-		for _, part := range parts {
-			next = append(next, part.Minus(moving)...)
-		}
-		parts = next
-	}
-	return parts
-}
-
 // derivedRenewal returns the renewal of a range that has none yet. It continues the renewal of an overlapping range with
 // the same owner and token, from which the range was split or to which other ranges were joined. A part keeps the send
 // time of the whole range, so that a split alone sends no grant early. Without an overlapping range, a holding that an
--- a/core/ownership/save.go
+++ b/core/ownership/save.go
@@ -1,6 +1,8 @@
 package ownership
 
 import (
+	"maps"
+
 	"redwingsill/core/command"
 	"redwingsill/core/holding"
 	"redwingsill/core/keyrange"
@@ -23,7 +25,9 @@
 	if isReserving {
 		reserved = o.reservedFence + fenceBlock
 	}
-	for _, r := range o.movingRanges() {
+	moving := o.movingRanges()
+	o.moves = maps.Clone(o.moves)
+	for _, r := range moving {
 		m := o.moves[r]
 		if _, ok := o.members[m.to]; m.stage != freed || !ok {
 			continue
@@ -34,8 +38,8 @@
 		}
 		o = next
 		m.toFence, m.stage = fence, saving
-		o = o.withMove(r, m)
-		keys = keys.WithJoined(holding.Holding{Range: r, Owner: m.to, Fence: fence}, o.movingRanges())
+		o.moves[r] = m
+		keys = keys.WithJoined(holding.Holding{Range: r, Owner: m.to, Fence: fence}, moving)
 		ranges = append(ranges, r)
 	}
 	if len(ranges) == 0 && !isReserving {
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -17,12 +17,15 @@
 	var commands []command.Command
 	if now.Before(o.movesUntil) {
 		// Tokens are reserved before they run out, so that moves don't wait for the write.
-		if o.lastFence+int64(o.timing.MaxMoves)*spareFencesPerMove > o.reservedFence && o.pendingSave == 0 {
+		if o.lastFence+int64(o.maxMoves())*spareFencesPerMove > o.reservedFence && o.pendingSave == 0 {
 			o, commands = o.withSave(commands, true)
 		}
 		if !now.Before(o.settledAt) {
 			o = o.withPlannedMoves(q, now)
 		}
+		if len(o.moves) > 0 { // one copy for all steps
+			o.moves, o.pendingReleases = maps.Clone(o.moves), maps.Clone(o.pendingReleases)
+		}
 		for _, r := range o.movingRanges() {
 			o, commands = o.withNextStep(r, commands, now)
 		}
@@ -33,7 +36,7 @@
 	return o.withRenewals(commands, now)
 }
 
-// withNextStep advances the move of a range by one step.
+// withNextStep advances the move of a range by one step. It changes the maps of moves and of pending releases in place.
 func (o Ownership) withNextStep(r keyrange.Range, commands []command.Command, now time.Time) (Ownership, []command.Command) {
 	m := o.moves[r]
 	if m.stage != releasing && m.stage != fencing {
@@ -43,7 +46,8 @@
 	switch {
 	case s.hasEnded(), !now.Before(o.mayHoldUntil(m.from)):
 		m.stage = freed
-		return o.withMove(r, m).withFreedEvent(r, m, o.unreleasedReason(m, now)), commands
+		o.moves[r] = m
+		return o.withFreedEvent(r, m, o.unreleasedReason(m, now)), commands
 	case !known, m.grantID != 0, m.releaseID != 0, now.Before(m.retryAt):
 		return o, commands
 	}
@@ -62,11 +66,12 @@
 		m.grantID = id
 		o = o.withPendingGrant(id, r, m.from, now)
 		commands = append(commands, command.Grant{ID: id, To: s.instance, Range: r, Fence: m.fromFence, HoldTime: o.timing.HoldTime, IsFencing: true})
-		return o.withMove(r, m), commands
+		o.moves[r] = m
+		return o, commands
 	}
 	m.releaseID = id
-	o.pendingReleases = maps.Clone(o.pendingReleases)
 	o.pendingReleases[id] = pendingRelease{keyRange: r, address: s.instance.Address}
 	commands = append(commands, command.Release{ID: id, From: s.instance, Range: r, Fence: m.fromFence})
-	return o.withMove(r, m), commands
+	o.moves[r] = m
+	return o, commands
 }
--- a/core/ownership/timing.go
+++ b/core/ownership/timing.go
@@ -34,7 +34,7 @@
 	// MoveCooldown is how long a moved range stays with its new owner, unless that owner leaves. It keeps keys from
 	// moving back and forth.
 	MoveCooldown time.Duration
-	// MaxMoves bounds the ranges that move at the same time. Orphaned ranges may exceed it.
+	// MaxMoves bounds the ranges that move at the same time, unless there are hundreds of servers. Orphaned ranges may exceed it.
 	MaxMoves int
 }
 
