Queued slot requests are sent again less and less often

Cause: a host sends each queued request again every 400 ms.

Change: the delay doubles up to 1.6 s. As a lost host is then found later, one request that finds a host silent makes the others there ask again.

Tests: a queued request was sent 10 times in 4 s, now 4; the second test fails without the notice (the request would go elsewhere after 2.8 s).

--- a/io/slotclient/constants.go
+++ b/io/slotclient/constants.go
@@ -12,8 +12,9 @@
 	// whose processor quota is used up.
 	responseTimeout = 260 * time.Millisecond
 	// queuedResendDelay is the time after which a queued request is sent again, to find out whether the other host still
-	// has it.
-	queuedResendDelay = 400 * time.Millisecond
+	// has it. It doubles up to maxQueuedResendDelay, so that thousands of queued requests don't keep that host busy.
+	queuedResendDelay    = 400 * time.Millisecond
+	maxQueuedResendDelay = 1600 * time.Millisecond
 	// pingDelay is how long a host has been unresponsive before it is pinged, from then on at each tick.
 	pingDelay = 300 * time.Millisecond
 	// fullShareDuration is how long after the last request of another host this host may give out all slots of a service.
--- a/io/slotclient/hosts.go
+++ b/io/slotclient/hosts.go
@@ -51,10 +51,21 @@
 		return next
 	})
 	if isNew {
+		close(c.swapSilenced(make(chan struct{})))
 		c.log.Info("entry host does not answer", "Address", host, "Patience", responseTimeout)
 	}
 }
 
+// swapSilenced replaces the channel that is closed when one more host becomes unresponsive, and returns the one before.
+func (c *SlotClient) swapSilenced(next chan struct{}) chan struct{} {
+	var previous chan struct{}
+	c.silenced.Update(func(old chan struct{}) chan struct{} {
+		previous = old
+		return next
+	})
+	return previous
+}
+
 // markResponsive records that a host responds.
 func (c *SlotClient) markResponsive(from netip.AddrPort) {
 	if _, ok := (*c.unresponsive.Read())[from]; !ok {
@@ -74,7 +85,11 @@
 	if !ok {
 		return false
 	}
-	_, isUnresponsive := (*c.unresponsive.Read())[h.Address]
+	return c.isUnresponsive(h.Address)
+}
+
+func (c *SlotClient) isUnresponsive(host netip.AddrPort) bool {
+	_, isUnresponsive := (*c.unresponsive.Read())[host]
 	return isUnresponsive
 }
 
--- a/io/slotclient/slotclient.go
+++ b/io/slotclient/slotclient.go
@@ -37,6 +37,8 @@
 	// unresponsive has the addresses of hosts that do not respond, each with the time when that was noticed. The next
 	// notification from a host removes it.
 	unresponsive *rcu.Value[map[netip.AddrPort]time.Time]
+	// silenced has a channel that is closed when one more host becomes unresponsive, and then replaced.
+	silenced *rcu.Value[chan struct{}]
 	// waiting has, by ticket, the channel for the responses to a slot request.
 	waiting sync.Map
 	// slots has, by ticket, the slots in use.
@@ -64,6 +66,7 @@
 	onAnnouncement func(from netip.AddrPort, n notification.ServerAnnounced), slotServer *slotserver.SlotServer, socket *datagram.Socket, directory *rcu.Value[directory.Directory], now func() time.Time, log *slog.Logger) *SlotClient {
 	return &SlotClient{name: name, hostID: hostID, now: now, log: log, acceptsRequests: acceptsRequests, reachability: ownReachability,
 		slotServer: slotServer, socket: socket, directory: directory, unresponsive: rcu.New(map[netip.AddrPort]time.Time{}),
+		silenced:       rcu.New(make(chan struct{})),
 		onAnnouncement: onAnnouncement}
 }
 
@@ -109,10 +112,20 @@
 	timer := time.NewTimer(resendDelay)
 	defer timer.Stop()
 	c.send(host, notification.SlotRequested{Request: r})
-	delay := resendDelay
+	delay, queuedDelay := resendDelay, queuedResendDelay
 	silentSince := c.now()
+	sentAt := silentSince
+	silenced := c.silenced.Load()
 	for {
 		select {
+		case <-silenced:
+			silenced = c.silenced.Load()
+			// Another request got no answer from the host, so this one need not wait for its next retransmission to find out.
+			if now := c.now(); c.isUnresponsive(host) && now.Sub(sentAt) >= queuedResendDelay {
+				silentSince, sentAt, delay = now, now, resendDelay
+				timer.Reset(delay)
+				c.send(host, notification.SlotRequested{Request: r})
+			}
 		case n := <-responses:
 			switch n := n.(type) {
 			case notification.Placed:
@@ -123,8 +136,9 @@
 			case notification.Declined:
 				return Slot{}, nil, false
 			default: // queued: silence counts from the next retransmission
-				silentSince = c.now().Add(queuedResendDelay)
-				delay = queuedResendDelay
+				silentSince = c.now().Add(queuedDelay)
+				delay = queuedDelay
+				queuedDelay = min(2*queuedDelay, maxQueuedResendDelay)
 				timer.Reset(delay)
 			}
 		case <-timer.C:
@@ -135,6 +149,7 @@
 			}
 			delay = min(2*delay, maxResendDelay)
 			timer.Reset(delay)
+			sentAt = c.now()
 			c.send(host, notification.SlotRequested{Request: r})
 		case <-ctx.Done():
 			c.send(host, notification.Cancelled{Service: r.Service, Ticket: r.Ticket})
