Coordinator: renewals without copies of values, and pauses after long steps

Change: the map has pointers to immutable values; only grants sent in a step are added to those in flight. A step is followed by a pause of at least twice its time.

Tests and property tests of ownership pass.

--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -81,7 +81,7 @@
 	for _, r := range o.savingRanges {
 		m := o.moves[r]
 		delete(o.moves, r)
-		o.renewals[r] = renewal{owner: m.to, previousOwner: m.from, fence: m.toFence, handover: m.handover, acquiredAt: now, isUnacknowledged: true}
+		o.renewals[r] = &renewal{owner: m.to, previousOwner: m.from, fence: m.toFence, handover: m.handover, acquiredAt: now, isUnacknowledged: true}
 	}
 	o.savingRanges = nil
 	return o
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -40,9 +40,10 @@
 	settledAt time.Time
 	// members are the backend servers that discovery lists, and servers the state of those and of earlier ones, which
 	// may still hold keys. Both are keyed by incarnation.
-	members  map[string]instance.Instance
-	servers  map[string]serverState
-	renewals map[keyrange.Range]renewal
+	members map[string]instance.Instance
+	servers map[string]serverState
+	// renewals has pointers to immutable values, since the map is copied often and has thousands of them.
+	renewals map[keyrange.Range]*renewal
 	moves    map[keyrange.Range]move
 	// capacities is how many requests of average duration each incarnation runs concurrently.
 	capacities      map[string]float64
@@ -72,7 +73,7 @@
 func New(t Timing, keys keymap.Map, fence int64, now time.Time) Ownership {
 	o := Ownership{timing: t, keys: keys, lastFence: fence, reservedFence: fence, inheritedFence: fence,
 		settledAt: now.Add(t.SettleTime), startedAt: now,
-		members: map[string]instance.Instance{}, servers: map[string]serverState{}, renewals: map[keyrange.Range]renewal{},
+		members: map[string]instance.Instance{}, servers: map[string]serverState{}, renewals: map[keyrange.Range]*renewal{},
 		moves: map[keyrange.Range]move{}, pendingGrants: map[int64]pendingGrant{}, pendingReleases: map[int64]pendingRelease{}}
 	if fence > 0 {
 		o.inheritedUntil = now.Add(t.UnreachableRenewGrace + t.CallTimeout + t.LongestHold())
--- a/core/ownership/renew.go
+++ b/core/ownership/renew.go
@@ -11,24 +11,31 @@
 
 // withRenewals appends the grants that are due. Moving ranges are left out.
 func (o Ownership) withRenewals(commands []command.Command, now time.Time) (Ownership, []command.Command) {
-	next := make(map[keyrange.Range]renewal, len(o.renewals)+1)
+	next := make(map[keyrange.Range]*renewal, len(o.renewals)+1)
 	sent := map[string][]int64{}
+	var sentRanges []keyrange.Range
 	holdTime := o.holdTime(now)
 	moving := o.movingRanges()
 	for _, h := range o.keys.Holdings() {
 		for _, part := range h.Range.MinusAll(moving) {
 			g, ok := o.renewals[part]
 			if !ok || g.owner != h.Owner || g.fence != h.Fence {
-				g = o.derivedRenewal(part, h)
-			}
-			to, known := o.members[g.owner]
-			if known && !o.servers[g.owner].isReplaced() && g.isDue(o.timing, now) {
-				o, g.id = o.withNextID()
-				g.sentAt, g.isPending = now, true
-				sent[g.owner] = append(sent[g.owner], g.id)
-				commands = append(commands, command.Grant{ID: g.id, To: to, Range: part, Fence: g.fence, HoldTime: holdTime, Handover: g.handover})
+				derived := o.derivedRenewal(part, h)
+				g = &derived
 			}
 			next[part] = g
+			if !g.isDue(o.timing, now) {
+				continue
+			}
+			if to, known := o.members[g.owner]; known && !o.servers[g.owner].isReplaced() {
+				renewed := *g
+				o, renewed.id = o.withNextID()
+				renewed.sentAt, renewed.isPending = now, true
+				next[part] = &renewed
+				sent[g.owner] = append(sent[g.owner], renewed.id)
+				sentRanges = append(sentRanges, part)
+				commands = append(commands, command.Grant{ID: renewed.id, To: to, Range: part, Fence: g.fence, HoldTime: holdTime, Handover: g.handover})
+			}
 		}
 	}
 	o.renewals = next
@@ -39,10 +46,9 @@
 	for owner, ids := range sent {
 		o.servers[owner] = o.servers[owner].withPending(o.latestExpiry(holdTime, now), ids...)
 	}
-	for r, g := range next {
-		if g.isPending {
-			o.pendingGrants[g.id] = pendingGrant{owner: g.owner, keyRange: r, address: o.servers[g.owner].instance.Address}
-		}
+	for _, r := range sentRanges {
+		g := next[r]
+		o.pendingGrants[g.id] = pendingGrant{owner: g.owner, keyRange: r, address: o.servers[g.owner].instance.Address}
 	}
 	return o, commands
 }
--- a/io/coordination/constants.go
+++ b/io/coordination/constants.go
@@ -9,6 +9,9 @@
 	// minStepInterval is the shortest time between two steps, less than a round trip to a backend server. The next step
 	// handles all results that arrive meanwhile.
 	minStepInterval = 3 * time.Millisecond
+	// stepPauseRatio times the duration of a step is the shortest time until the next one, so that at least two thirds of the
+	// processor are left for the slot requests that the coordinator answers.
+	stepPauseRatio = 2
 	// idleStepInterval is the longest time between two steps of a host that is not the coordinator and manages no
 	// services.
 	idleStepInterval = 250 * time.Millisecond
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -96,10 +96,11 @@
 		case <-c.changes:
 		case <-timer.C:
 		}
+		began := c.now()
 		c.applyPendingResults()
 		c.step()
 		timer.Reset(c.stepInterval())
-		task.Sleep(ctx, minStepInterval)
+		task.Sleep(ctx, max(minStepInterval, stepPauseRatio*c.now().Sub(began)))
 	}
 }
 
