A connection that is accepted while the server ends is closed too

Cause, found by reading: a connection accepted between the closing of the open ones and the end of the server's goroutines was read until its header timeout, which delayed the exit of a host by up to 3 s.

Change: each connection is closed when the server's context ends.

--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -51,8 +51,7 @@
 
 // serve reads requests until the connection ends, and returns when all their handlers have returned.
 func (c *connection) serve() {
-	// A handler that ends always finds room in the channel: only those that have ended since the last request was read
-	// have not been received.
+	// The channel has room for all handlers in progress. Their ends are received before the next one starts.
 	ended := make(chan struct{}, maxPipelined+1)
 	running := 0
 	for c.awaitRequest() {
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -50,7 +50,6 @@
 	go func() { ended <- s.accept(tasks, listener) }()
 	return ended, func() {
 		_ = listener.Close() // accept then ends
-		s.closeConnections()
 		closeTasks()
 	}
 }
@@ -96,6 +95,7 @@
 // serve serves one connection until it ends.
 func (s *Server) serve(ctx context.Context, raw net.Conn) {
 	c := newConnection(ctx, s, raw)
+	defer context.AfterFunc(ctx, c.abort)() // a connection that is accepted while the server ends is closed too
 	s.mu.Lock()
 	s.connections[c] = struct{}{}
 	s.mu.Unlock()
@@ -117,12 +117,6 @@
 	return all
 }
 
-func (s *Server) closeConnections() {
-	for _, c := range s.open() {
-		c.abort()
-	}
-}
-
 // ReadAhead returns the number of requests that were read before earlier ones of their connection were answered.
 func (s *Server) ReadAhead() int64 { return s.readAhead.Load() }
 
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -311,6 +311,29 @@
 	<-ended
 }
 
+// A server that ends must not wait for callers that send nothing.
+func TestEndClosesSilentConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := http1.New(http.NotFoundHandler(), func() limits.Limits { return limits.Limits{} }, slog.New(slog.DiscardHandler))
+	_, stop := s.Serve(context.Background(), listener)
+	for range 20 {
+		dial(t, listener.Addr().String())
+	}
+	ended := make(chan struct{})
+	go func() {
+		stop()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(3 * time.Second):
+		t.Error("the server did not end within 3 s")
+	}
+}
+
 // Work for a caller that has left is lost. It must be noticed at each point: with one request, with further ones at work, and
 // with further ones that wait unread because too many are at work. net/http's server stops watching a connection once the first
 // byte of the next request is there.
