--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -62,9 +62,8 @@
 }
 
 // Drain prepares the shutdown of this host. From now on each connection is closed after the response to the last request
-// that was read from it. Requests are refused if
-// they arrive after lastRequest, when the platform should have stopped sending them to this host, or if they may still
-// run at stopAt. Drain cancels no requests; the caller must call [Ingress.CancelRequests] at stopAt.
+// that was read from it. Requests are refused if they arrive after lastRequest, when the platform should have stopped
+// sending them to this host, or if they may still run at stopAt. Drain cancels no requests; the caller must call [Ingress.CancelRequests] at stopAt.
 func (i *Ingress) Drain(lastRequest, stopAt time.Time) {
 	i.drain.Store(&drainSchedule{lastRequest: lastRequest, stopAt: stopAt})
 	i.server.Drain()
