--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -9,7 +9,7 @@
 	"redwingsill/core/reshard"
 )
 
-// serversPerMove is the number of backend servers of a large service for each range that may move at the same time.
+// serversPerMove is how many backend servers of a service there are for each of its ranges that may move at the same time.
 const serversPerMove = 16
 
 // maxRatesAge is the age up to which the rates of keys are used to plan moves for waiting requests. Reading the rates of
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -36,7 +36,8 @@
 	return o.withRenewals(commands, now)
 }
 
-// withNextStep advances the move of a range by one step. It changes the maps of moves and of pending releases in place.
+// withNextStep advances the move of a range by one step. It changes the maps of moves and of pending releases in place; the
+// caller has copied them.
 func (o Ownership) withNextStep(r keyrange.Range, commands []command.Command, now time.Time) (Ownership, []command.Command) {
 	m := o.moves[r]
 	if m.stage != releasing && m.stage != fencing {
--- a/io/forward/slots.go
+++ b/io/forward/slots.go
@@ -9,8 +9,8 @@
 	"redwingsill/io/slotclient"
 )
 
-// StopSending makes all requests that wait for a slot at a time, and those that ask for one later, end as not run unless an earlier
-// attempt may have run. A host that shuts down calls it, since a request that is sent late would be cut at the end. Attempts in
+// StopSending lets no attempt begin after the given time. Requests that wait for a slot then, and later ones, end as not run unless
+// an earlier attempt may have run. A host that shuts down calls it, since what is sent late would be cut at the end. Attempts in
 // progress go on.
 func (f *Forwarder) StopSending(at time.Time) {
 	time.AfterFunc(at.Sub(f.now()), f.stopSending)
