--- a/core/keyload/keyload.go
+++ b/core/keyload/keyload.go
@@ -39,17 +39,16 @@
 
 // Rates returns the request rate of each key at now.
 func (l Load) Rates(now time.Time) keyrates.Rates {
-	keys := make([]int, 0, l.keys.Len())
+	all := make([]keyCount, 0, l.keys.Len())
 	for itr := l.keys.Iterator(); !itr.Done(); {
-		key, _, _ := itr.Next()
-		keys = append(keys, key)
+		key, c, _ := itr.Next()
+		all = append(all, keyCount{key: key, count: c.decayedAt(now)})
 	}
-	slices.Sort(keys)
-	rates := make([]float64, len(keys))
-	for i, key := range keys {
-		c, _ := l.keys.Get(key)
+	slices.SortFunc(all, func(a, b keyCount) int { return a.key - b.key })
+	keys, rates := make([]int, len(all)), make([]float64, len(all))
+	for i, k := range all {
 		// At a constant rate, a count settles at rate * halfLife / ln 2.
-		rates[i] = c.decayedAt(now) * math.Ln2 / halfLife.Seconds()
+		keys[i], rates[i] = k.key, k.count*math.Ln2/halfLife.Seconds()
 	}
 	return keyrates.New(keys, rates)
 }
--- a/core/keymap/keymap.go
+++ b/core/keymap/keymap.go
@@ -32,15 +32,28 @@
 
 // With assigns the keys of h to its owner in place of any earlier holdings.
 func (m Map) With(h holding.Holding) Map {
+	first, end := m.bounds(h.Range)
 	next := make([]holding.Holding, 0, len(m.holdings)+2)
-	for _, old := range m.holdings {
-		for _, rest := range old.Range.Minus(h.Range) {
-			next = append(next, old.WithRange(rest))
-		}
+	next = append(next, m.holdings[:first]...)
+	if first < end && m.holdings[first].Range.From < h.Range.From {
+		next = appendMerged(next, m.holdings[first].WithRange(keyrange.Range{From: m.holdings[first].Range.From, To: h.Range.From - 1}))
+	}
+	next = appendMerged(next, h)
+	if first < end && m.holdings[end-1].Range.To > h.Range.To {
+		next = appendMerged(next, m.holdings[end-1].WithRange(keyrange.Range{From: h.Range.To + 1, To: m.holdings[end-1].Range.To}))
+	}
+	if end < len(m.holdings) {
+		next = appendMerged(next, m.holdings[end])
+		next = append(next, m.holdings[end+1:]...)
 	}
-	next = append(next, h)
-	slices.SortFunc(next, byRange)
-	return Map{holdings: merged(next)}
+	return Map{holdings: next}
+}
+
+// bounds returns the index of the first holding that overlaps a range, and that of the first one after the range.
+func (m Map) bounds(r keyrange.Range) (int, int) {
+	first := sort.Search(len(m.holdings), func(i int) bool { return m.holdings[i].Range.To >= r.From })
+	end := first + sort.Search(len(m.holdings)-first, func(i int) bool { return m.holdings[first+i].Range.From > r.To })
+	return first, end
 }
 
 func byRange(a, b holding.Holding) int { return cmp.Compare(a.Range.From, b.Range.From) }
@@ -74,16 +87,20 @@
 func merged(sorted []holding.Holding) []holding.Holding {
 	joined := make([]holding.Holding, 0, len(sorted))
 	for _, h := range sorted {
-		if n := len(joined) - 1; n >= 0 && joined[n].Owner == h.Owner && joined[n].Fence == h.Fence &&
-			joined[n].Range.To+1 == h.Range.From {
-			joined[n].Range.To = h.Range.To
-			continue
-		}
-		joined = append(joined, h)
+		joined = appendMerged(joined, h)
 	}
 	return joined
 }
 
+// appendMerged appends a holding, or joins it with the last one if they are adjacent and have the same owner and token.
+func appendMerged(all []holding.Holding, h holding.Holding) []holding.Holding {
+	if n := len(all) - 1; n >= 0 && all[n].Owner == h.Owner && all[n].Fence == h.Fence && all[n].Range.To+1 == h.Range.From {
+		all[n].Range.To = h.Range.To
+		return all
+	}
+	return append(all, h)
+}
+
 // HoldingOf returns the holding that contains a key, and whether there is one.
 func (m Map) HoldingOf(key int) (holding.Holding, bool) {
 	n := sort.Search(len(m.holdings), func(i int) bool { return m.holdings[i].Range.To >= key })
@@ -99,7 +116,8 @@
 // In returns the holdings that overlap a range, cut to that range.
 func (m Map) In(r keyrange.Range) []holding.Holding {
 	var parts []holding.Holding
-	for _, h := range m.holdings {
+	first, end := m.bounds(r)
+	for _, h := range m.holdings[first:end] {
 		if common, ok := h.Range.Intersect(r); ok {
 			parts = append(parts, h.WithRange(common))
 		}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -11,6 +11,7 @@
 	"redwingsill/core/instance"
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/keyrates"
 	"redwingsill/core/ownershipevent"
 )
 
@@ -57,6 +58,9 @@
 	// plannedAt is when moves were last planned, and balancedAt when the plan last balanced the load.
 	plannedAt  time.Time
 	balancedAt time.Time
+	// rates are the request rates of keys at ratesAt.
+	rates   keyrates.Rates
+	ratesAt time.Time
 	// isDeposed is set once a write to the store has failed.
 	isDeposed bool
 	// events is what happened since the last WithoutEvents.
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -9,6 +9,10 @@
 	"redwingsill/core/reshard"
 )
 
+// maxRatesAge is the age up to which the rates of keys are used to plan moves for waiting requests. Reading the rates of
+// thousands of keys takes milliseconds.
+const maxRatesAge = 150 * time.Millisecond
+
 // withPlannedMoves starts the moves that reshard plans: all of them at each BalanceInterval, and in between, at each
 // WaitingInterval, only those for orphaned ranges and waiting requests.
 func (o Ownership) withPlannedMoves(q Queues, now time.Time) Ownership {
@@ -16,10 +20,16 @@
 	if !isBalancing && (now.Sub(o.plannedAt) < o.timing.WaitingInterval || q.Waiting() == 0 && !o.hasOrphans()) {
 		return o
 	}
+	if len(o.moves) >= o.timing.MaxMoves && !o.hasOrphans() {
+		return o
+	}
 	o.plannedAt = now
 	if isBalancing {
 		o.balancedAt = now
 	}
+	if isBalancing || now.Sub(o.ratesAt) >= maxRatesAge {
+		o.rates, o.ratesAt = q.KeyLoad().Rates(now), now
+	}
 	capacities := map[string]float64{}
 	for incarnation, m := range o.members {
 		if !o.canOwn(incarnation) {
@@ -39,7 +49,7 @@
 	if len(keys.Holdings()) == 0 || len(keys.Gaps()) > 0 {
 		maxMoves = max(maxMoves, len(capacities))
 	}
-	for _, planned := range reshard.New(keys, capacities, q.KeyLoad().Rates(now), q.OwnerLoads(now), q.MeanServiceTime()).WithRecentlyMoved(o.recentlyMoved(now)).Moves(max(0, maxMoves), isBalancing) {
+	for _, planned := range reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), q.MeanServiceTime()).WithRecentlyMoved(o.recentlyMoved(now)).Moves(max(0, maxMoves), isBalancing) {
 		if len(o.moves) >= o.timing.MaxMoves && !o.isOrphan(planned.Range) {
 			break
 		}
--- a/core/pool/fleetbenchmark_test.go
+++ b/core/pool/fleetbenchmark_test.go
@@ -80,6 +80,13 @@
 				p, _ = p.WithHeldSlots(host, tickets, now.Add(-time.Second), now)
 			}
 		})
+		b.Run(fmt.Sprintf("sharded=%v/keys", isSharded), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				owner := all[i%servers].Incarnation()
+				p, _ = p.WithKeys(keys.With(holding.Holding{Range: keyrange.Range{From: 20000, To: 20010}, Owner: owner, Fence: int64(1000 + i)}), nil, now)
+			}
+		})
 		b.Run(fmt.Sprintf("sharded=%v/tick", isSharded), func(b *testing.B) {
 			b.ReportAllocs()
 			for range b.N {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -80,9 +80,30 @@
 // WithKeys returns the pool with the owners of keys and the unserved key ranges, and the placements that follow. Unserved
 // ranges are those that are moving and those whose new owner has not acknowledged its grant; requests for their keys wait.
 func (p Pool) WithKeys(owners keymap.Map, unserved []keyrange.Range, now time.Time) (Pool, []placement.Placement) {
-	requests := p.waitingRequests()
 	p.keyOwners, p.unservedRanges = owners, unserved
-	return p.requeued(requests, now).withAllDispatched(now)
+	return p.withMovedRequests(now).withAllDispatched(now)
+}
+
+// withMovedRequests returns the pool with each waiting request in the queue of the present owner of its key. Most keep their
+// queue.
+func (p Pool) withMovedRequests(now time.Time) Pool {
+	var moved []slotrequest.SlotRequest
+	for n, q := range p.queues {
+		q.Each(func(r slotrequest.SlotRequest) bool {
+			if p.queueOf(r) != n {
+				moved = append(moved, r)
+			}
+			return true
+		})
+	}
+	for _, r := range moved {
+		queued, _ := p.waiting.Get(r.Ticket)
+		p = p.withQueue(queued.queue, p.queues[queued.queue].Without(r.Ticket))
+		n := p.queueOf(r)
+		p = p.withQueue(n, p.queues[n].With(r, p.willMissObjective(r, now)))
+		p.waiting = p.waiting.Set(r.Ticket, queuedRequest{queue: n, queuedAt: queued.queuedAt})
+	}
+	return p
 }
 
 // WithSharded returns the pool for a service that is sharded by key, or is not. Waiting requests change their queues at
@@ -117,10 +138,7 @@
 
 // requeued returns the pool with the requests in new queues, by the present owners of their keys.
 func (p Pool) requeued(requests []slotrequest.SlotRequest, now time.Time) Pool {
-	p.queues = make([]waitlist.Waitlist, len(p.servers)+1)
-	for n := range p.queues {
-		p.queues[n] = waitlist.New()
-	}
+	p.queues = slices.Repeat([]waitlist.Waitlist{waitlist.New()}, len(p.servers)+1)
 	for _, r := range requests {
 		n := p.queueOf(r)
 		p.queues[n] = p.queues[n].With(r, p.willMissObjective(r, now))
