--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -33,10 +33,11 @@
 }
 
 // withDispatched returns the pool after slots were given to the requests of queue n, as far as slots are free.
-// Requests whose deadline has passed or that no server can run are refused.
+// Requests whose deadline has passed or that no server can run are refused, apart from those that wait for an owner, which
+// [Pool.WithTick] refuses.
 func (p Pool) withDispatched(n int, now time.Time) (Pool, []placement.Placement) {
-	if p.queues[n].Len() == 0 {
-		return p, nil
+	if p.queues[n].Len() == 0 || n == p.commonQueue() && p.isSharded && p.queues[n].Keyless() == 0 {
+		return p, nil // a free slot is of no use to requests that wait for an owner, of which there may be thousands
 	}
 	var done []placement.Placement
 	p.queues[n].Each(func(r slotrequest.SlotRequest) bool {
@@ -61,6 +62,31 @@
 	return p, done
 }
 
+// withUnownedRefused returns the pool without the requests that have waited too long for an owner of their keys, or whose
+// deadline has passed meanwhile. It appends a refusal of each to the slice refused and returns that too.
+func (p Pool) withUnownedRefused(refused []placement.Placement, now time.Time) (Pool, []placement.Placement) {
+	n := p.commonQueue()
+	if !p.isSharded {
+		return p, refused
+	}
+	p.queues[n].Each(func(r slotrequest.SlotRequest) bool {
+		if !p.needsOwner(r) {
+			return true
+		}
+		queued, _ := p.waiting.Get(r.Ticket)
+		refusal, ok := p.refusalOf(n, r, queued.queuedAt, now)
+		if !now.Before(r.Deadline) {
+			refusal, ok = placement.Refuse{Ticket: r.Ticket, Reason: placement.Expired, RetryAfter: minRetryAfter}, true
+		}
+		if ok {
+			refused = append(refused, refusal)
+			p = p.withoutWaiting(r.Ticket)
+		}
+		return true
+	})
+	return p, refused
+}
+
 // withRun returns the pool after a request got a slot at a server.
 func (p Pool) withRun(r slotrequest.SlotRequest, n int, now time.Time) Pool {
 	s := *p.servers[n]
--- a/core/pool/fleetbenchmark_test.go
+++ b/core/pool/fleetbenchmark_test.go
@@ -80,6 +80,20 @@
 				p, _ = p.WithHeldSlots(host, tickets, now.Add(-time.Second), now)
 			}
 		})
+		if isSharded { // thousands of requests wait for the owner of keys that move
+			p, _ = p.WithKeys(keys, []keyrange.Range{{From: 65300, To: keyrange.MaxKey}}, now)
+			for i := range 2000 {
+				p, _ = p.WithRequest(slotrequest.SlotRequest{Ticket: 1<<50 + uint64(i), DataCentre: "dc0", Service: "s", Key: 65301,
+					Objective: now.Add(time.Hour), Deadline: now.Add(time.Hour)}, now)
+			}
+			b.Run("sharded=true/waiting=2000/request", func(b *testing.B) {
+				b.ReportAllocs()
+				for range b.N {
+					n++
+					step(n)
+				}
+			})
+		}
 		b.Run(fmt.Sprintf("sharded=%v/keys", isSharded), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -128,6 +128,7 @@
 			p, refused = p.withoutUnservable(n, refused, now)
 		}
 	}
+	p, refused = p.withUnownedRefused(refused, now)
 	p, placed := p.withAllDispatched(now)
 	return p, append(refused, placed...)
 }
--- a/core/waitlist/waitlist.go
+++ b/core/waitlist/waitlist.go
@@ -18,6 +18,8 @@
 	sortKeys *immutable.Map[uint64, sortKey]
 	// counts gives the number of requests in each bucket, so that Ahead need not pass over thousands of requests.
 	counts *immutable.SortedMap[sortKey, int]
+	// keyless is the number of requests without a key.
+	keyless int
 }
 
 // New returns an empty list.
@@ -29,6 +31,9 @@
 // Len returns the number of requests.
 func (w Waitlist) Len() int { return w.requests.Len() }
 
+// Keyless returns the number of requests without a key.
+func (w Waitlist) Keyless() int { return w.keyless }
+
 // Has reports whether the list contains the ticket.
 func (w Waitlist) Has(ticket uint64) bool {
 	_, ok := w.sortKeys.Get(ticket)
@@ -40,7 +45,10 @@
 	w = w.Without(r.Ticket)
 	key := sortKeyOf(r, isLate)
 	count, _ := w.counts.Get(key.bucket())
-	return Waitlist{requests: w.requests.Set(key, r), sortKeys: w.sortKeys.Set(r.Ticket, key), counts: w.counts.Set(key.bucket(), count+1)}
+	if !r.HasKey() {
+		w.keyless++
+	}
+	return Waitlist{requests: w.requests.Set(key, r), sortKeys: w.sortKeys.Set(r.Ticket, key), counts: w.counts.Set(key.bucket(), count+1), keyless: w.keyless}
 }
 
 // Without returns the list without the ticket's request.
@@ -53,7 +61,10 @@
 	if count, _ := w.counts.Get(key.bucket()); count > 1 {
 		counts = w.counts.Set(key.bucket(), count-1)
 	}
-	return Waitlist{requests: w.requests.Delete(key), sortKeys: w.sortKeys.Delete(ticket), counts: counts}
+	if r, _ := w.requests.Get(key); !r.HasKey() {
+		w.keyless--
+	}
+	return Waitlist{requests: w.requests.Delete(key), sortKeys: w.sortKeys.Delete(ticket), counts: counts, keyless: w.keyless}
 }
 
 // Ahead returns, by rank, how many requests of the list would precede r if r could meet its objective.
