--- a/review/standin/entryhost.go
+++ b/review/standin/entryhost.go
@@ -4,13 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"redwingsill/io/standin/loopback"
 )
 
 // programPath is where the build line of the deploy file puts the program, from the root of the repository.
@@ -26,8 +27,8 @@
 
 // startEntryHost starts a host with settings like those of a small deployment. Its log goes to the directory.
 func startEntryHost(directory, name, zone, storeAddress string) (*entryHost, error) {
-	front, readiness := freeAddress(), freeAddress()
-	first := freePortPair()
+	front, readiness := loopback.FreeAddress(), loopback.FreeAddress()
+	first := loopback.FreePortPair()
 	text, err := json.Marshal(map[string]any{
 		"self": map[string]any{"node_name": name, "role": "entry", "machine_class": "edge", "serves": []string{"edge"}, "ip": "127.0.0.1", "zone": zone,
 			"limits": map[string]any{"cpu_share": 0.32, "cores": 1, "memory_mb": 284, "max_fds": 4100}},
@@ -91,30 +92,3 @@
 	}
 	return fmt.Errorf("the entry hosts were not ready within %v", patience)
 }
-
-// freeAddress returns a loopback address whose port is free.
-func freeAddress() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
-// freePortPair returns the first of two free ports in a row.
-func freePortPair() int {
-	for {
-		first, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			panic(err)
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		second, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1))
-		_ = first.Close()
-		if err == nil {
-			_ = second.Close()
-			return port
-		}
-	}
-}
