--- a/review/standin/callers.go
+++ b/review/standin/callers.go
@@ -55,12 +55,14 @@
 	r.Header.Set("X-Redwingsill-Attempt-Id", id)
 	r.Header.Set("X-Redwingsill-Deadline-Ms", "4000")
 	r.Header.Set("X-Redwingsill-Shard-Key", fmt.Sprint(key))
+	c.record.writef("%s sent to %s with key %d", id, h.name, key)
 	status := "no answer"
 	if response, err := client.Do(r); err == nil {
 		_, _ = io.Copy(io.Discard, response.Body) // the case checks no body
 		_ = response.Body.Close()
 		status = fmt.Sprint(response.StatusCode)
 	}
+	c.record.writef("%s answered: %s", id, status)
 	count, _ := c.statuses.LoadOrStore(status, &atomic.Int64{})
 	count.(*atomic.Int64).Add(1)
 }
--- a/review/standin/keyserver.go
+++ b/review/standin/keyserver.go
@@ -176,7 +176,7 @@
 	s.drop(o.From, o.Target)
 	s.holdings = append(s.holdings, holding{from: o.From, to: o.Target, fence: o.Fence, until: until})
 	if problem := s.holders.take(s.id, o.From, o.Target, o.Fence); problem != "" {
-		s.record.writef("BROKEN: %s", problem)
+		s.record.writef("BROKEN: %s; it holds %d-%d for %v more", problem, o.From, o.Target, time.Until(until).Round(time.Millisecond))
 	} else if isNew {
 		s.record.writef("server %s takes %d-%d with token %d for %v", s.id, o.From, o.Target, o.Fence, hold)
 	}
@@ -264,6 +264,7 @@
 		return refuse(http.StatusMisdirectedRequest)
 	}
 	defer s.end(key)
+	s.record.writef("%s run by server %s", header["X-Redwingsill-Attempt-Id"], s.id)
 	time.Sleep(time.Duration((0.3 + 1.4*rand.Float64()) * float64(meanWork)))
 	header["X-Redwingsill-Server-Seal"] = "seal-" + s.id
 	header["X-Redwingsill-Server-Load"] = fmt.Sprintf("%d,%d,%d", len(s.slots), max(0, int(s.queue.Load())-len(s.slots)), slotCount)
