Line and counter for each raised fencing token

Cause: the log didn't tell why the coordinator raised a token before a release, so that a move after a lost grant, one beside an earlier coordinator and one without any doubt looked alike up to the release. Change: the event RangeFenced, its line "range fenced" and redwingsill_ranges_fenced_total, with the reason. A move keeps the reason in place of a flag; decisions are the same. Both are kept for the work on leases that end early.

--- a/core/ownership/move.go
+++ b/core/ownership/move.go
@@ -1,6 +1,10 @@
 package ownership
 
-import "time"
+import (
+	"time"
+
+	"redwingsill/core/ownershipevent"
+)
 
 // move is the transfer of a range to another owner.
 type move struct {
@@ -18,9 +22,9 @@
 	retryAt time.Time
 	// handover is the state that the old owner passed on when it released the range.
 	handover string
-	// isLateGrantPossible is set if a grant that is in flight or lost could take effect after the release and undo it.
-	// The fencing token is then raised before the release.
-	isLateGrantPossible bool
+	// lateGrant is why a grant could take effect after the release and undo it. Unless it is NoLateGrant, the fencing token is
+	// raised before the release.
+	lateGrant ownershipevent.LateGrant
 	// isFencingLost is set if the last grant that raised the token got no response, and no release since then got one.
 	isFencingLost bool
 	// toFence is the fencing token of the new owner, set once the map with that owner is being written.
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -17,7 +17,10 @@
 		m.stage = releasing
 	case command.Stale, command.Lost:
 		// Retry with a higher token: a lost grant could still take effect after a later one with the same token.
-		m.stage, m.isLateGrantPossible, m.isFencingLost = releasing, true, result == command.Lost
+		m.stage, m.lateGrant, m.isFencingLost = releasing, ownershipevent.Unanswered, result == command.Lost
+		if result == command.Stale {
+			m.lateGrant = ownershipevent.Superseded
+		}
 		m.retryAt = now.Add(o.timing.RetryDelay)
 	case command.Unsent, command.Invalid, command.Replaced:
 		m.retryAt = now.Add(o.timing.RetryDelay)
@@ -53,9 +56,9 @@
 	switch {
 	case o.isGrantInFlight(m.from, r):
 		// The grant may reach a later incarnation with the same ID and address, which has seen no tokens.
-		m.isLateGrantPossible = true
+		m.lateGrant = ownershipevent.InFlight
 		m.retryAt = now.Add(o.timing.RetryDelay)
-	case !m.isLateGrantPossible:
+	case m.lateGrant == ownershipevent.NoLateGrant:
 		m.stage = freed
 		o = o.withFreedEvent(r, m, ownershipevent.Released)
 	}
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -122,7 +122,7 @@
 		return o.withMove(r, m).withFreedEvent(r, m, ownershipevent.NoOwner)
 	}
 	m := move{to: to, stage: releasing, from: held[0].Owner, fromFence: held[0].Fence}
-	m.isLateGrantPossible = o.mayBeGrantedLate(m.from, now)
+	m.lateGrant = o.lateGrant(m.from, now)
 	return o.withMove(r, m)
 }
 
@@ -148,9 +148,17 @@
 	return o.withMove(r, m)
 }
 
-// mayBeGrantedLate reports whether a grant to an incarnation may still take effect after a release: one of this
-// coordinator that is in flight or was lost, or one of an earlier coordinator.
-func (o Ownership) mayBeGrantedLate(incarnation string, now time.Time) bool {
+// lateGrant returns why a grant to an incarnation may still take effect after a release: one of an earlier coordinator, or one of
+// this coordinator that was lost or is in flight.
+func (o Ownership) lateGrant(incarnation string, now time.Time) ownershipevent.LateGrant {
 	s := o.servers[incarnation]
-	return now.Before(o.inheritedUntil) || now.Before(s.lateUntil) || len(s.pending) > 0
+	switch {
+	case now.Before(o.inheritedUntil):
+		return ownershipevent.Inherited
+	case now.Before(s.lateUntil):
+		return ownershipevent.Unanswered
+	case len(s.pending) > 0:
+		return ownershipevent.InFlight
+	}
+	return ownershipevent.NoLateGrant
 }
--- a/core/ownership/stage.go
+++ b/core/ownership/stage.go
@@ -1,7 +1,7 @@
 package ownership
 
 // stage is the progress of a move. A move starts at releasing, or at freed if the range has no owner. It goes back to
-// fencing while isLateGrantPossible is set.
+// fencing unless lateGrant is NoLateGrant.
 type stage uint8
 
 const (
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -6,6 +6,7 @@
 
 	"redwingsill/core/command"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/ownershipevent"
 )
 
 // WithTick returns the state at now and the commands to carry out: the next steps of moves, grants that are due, and
@@ -55,13 +56,13 @@
 	var id int64
 	// Each lost grant extends the time until which a silent server may hold its keys. After one, it is asked for a release
 	// first.
-	if m.stage == releasing && m.isLateGrantPossible && !m.isFencingLost {
+	if m.stage == releasing && m.lateGrant != ownershipevent.NoLateGrant && !m.isFencingLost {
 		next, fence, ok := o.withNextFence()
 		if !ok {
 			return o, commands
 		}
-		o = next
-		m.stage, m.fromFence, m.isLateGrantPossible = fencing, fence, false
+		o = next.withEvent(ownershipevent.RangeFenced{Range: r, Owner: m.from, Fence: fence, Reason: m.lateGrant})
+		m.stage, m.fromFence, m.lateGrant = fencing, fence, ownershipevent.NoLateGrant
 	}
 	if o, id = o.withNextID(); m.stage == fencing {
 		m.grantID = id
--- a/core/ownershipevent/event.go
+++ b/core/ownershipevent/event.go
@@ -2,7 +2,8 @@
 // from these values.
 package ownershipevent
 
-// Event is one step in the life of an owner's keys. The variants are [RangeAcquired], [RangeFreed] and [ServerEnded].
+// Event is one step in the life of an owner's keys. The variants are [RangeAcquired], [RangeFenced], [RangeFreed] and
+// [ServerEnded].
 //
 //sumtype:decl
 type Event interface {
--- a/io/coordination/events.go
+++ b/io/coordination/events.go
@@ -20,6 +20,9 @@
 			}
 			c.log.Info(message, "Service", name, "Range", e.Range.String(), "Reason", e.Reason.String(), "Server", e.Owner, "Fence", e.Fence,
 				"MayHoldFor", remaining(e.MayHoldUntil, now))
+		case ownershipevent.RangeFenced:
+			c.metrics.CountFencedRange(name, e.Reason)
+			c.log.Info("range fenced", "Service", name, "Range", e.Range.String(), "Reason", e.Reason.String(), "Server", e.Owner, "Fence", e.Fence)
 		case ownershipevent.RangeAcquired:
 			c.log.Info("range acquired", "Service", name, "Range", e.Range.String(), "Server", e.Owner, "Fence", e.Fence, "From", e.PreviousOwner)
 		case ownershipevent.ServerEnded:
--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -23,6 +23,7 @@
 	attempts        *prometheus.CounterVec
 	storeCalls      *prometheus.CounterVec
 	rangesFreed     *prometheus.CounterVec
+	rangesFenced    *prometheus.CounterVec
 	leavingServers  *prometheus.CounterVec
 	pauses          *prometheus.CounterVec
 }
@@ -40,12 +41,14 @@
 			Help: "Calls to the store, by call and result."}, []string{"call", "result"}),
 		rangesFreed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_ranges_freed_total",
 			Help: "Key ranges that this host, as the coordinator, freed for a new owner, by service and reason."}, []string{"service", "reason"}),
+		rangesFenced: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_ranges_fenced_total",
+			Help: "Key ranges whose fencing token this host, as the coordinator, raised before their release, by service and reason."}, []string{"service", "reason"}),
 		leavingServers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_leaving_servers_total",
 			Help: "Backend servers that this host heard leave from their answers, by service."}, []string{"service"}),
 		pauses: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_pauses_total",
 			Help: "Answers in which a backend server asked this host for a pause, by service."}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.leavingServers, m.pauses)
+	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses)
 	return m
 }
 
@@ -76,6 +79,11 @@
 	m.storeCalls.WithLabelValues(call, result).Inc()
 }
 
+// CountFencedRange counts a key range of a service whose owner was granted it under a higher token before its release, and why.
+func (m *Metrics) CountFencedRange(service string, reason ownershipevent.LateGrant) {
+	m.rangesFenced.WithLabelValues(service, reason.String()).Inc()
+}
+
 // CountFreedRange counts a key range of a service that the coordinator freed for a new owner, and why.
 func (m *Metrics) CountFreedRange(service string, reason ownershipevent.Reason) {
 	m.rangesFreed.WithLabelValues(service, reason.String()).Inc()
