--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -6,6 +6,7 @@
 
 	"redwingsill/core/command"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/ownershipevent"
 )
 
 // WithTick returns the state at now and the commands to carry out: the next steps of moves, grants that are due, and
@@ -55,24 +56,25 @@
 	var id int64
 	// Each lost grant extends the time until which a silent server may hold its keys. After one, it is asked for a release
 	// first.
-	if m.stage == releasing && m.isLateGrantPossible && !m.isFencingLost {
+	if m.stage == releasing && m.lateGrant != ownershipevent.NoLateGrant && !m.isFencingLost {
 		next, fence, ok := o.withNextFence()
 		if !ok {
 			return o, commands
 		}
-		o = next
-		m.stage, m.fromFence, m.isLateGrantPossible = fencing, fence, false
+		o = next.withEvent(ownershipevent.RangeFenced{Range: r, Owner: m.from, Fence: fence, Reason: m.lateGrant})
+		m.stage, m.fromFence, m.lateGrant = fencing, fence, ownershipevent.NoLateGrant
 	}
 	if o, id = o.withNextID(); m.stage == fencing {
 		m.grantID = id
-		o = o.withPendingGrant(id, r, m.from, now)
+		o = o.withPendingGrant(id, r, m.fromFence, m.from, now)
 		commands = append(commands, command.Grant{ID: id, To: s.instance, Range: r, Fence: m.fromFence, HoldTime: o.timing.HoldTime, IsFencing: true})
 		o.moves[r] = m
 		return o, commands
 	}
 	m.releaseID = id
 	o.pendingReleases[id] = pendingRelease{keyRange: r, address: s.instance.Address}
-	commands = append(commands, command.Release{ID: id, From: s.instance, Range: r, Fence: m.fromFence})
+	commands = append(commands, command.Release{ID: id, From: s.instance, Range: r, Fence: m.fromFence, Connection: s.connectionOf(r),
+		NeedsNewConnection: m.isReleaseLost})
 	o.moves[r] = m
 	return o, commands
 }
