Long grants count from reports that may be 0.6 s old

Cause: a coordinator finds the store unreachable by reports of hosts that are up to 0.6 s old (reachabilityMaxAge), and the finding holds for UnreachableTTL from then. Its successor, which knows since when the hosts have reached the store, added only UnreachableTTL, so it took the last long grants as expired up to 0.6 s early.

Change: Timing.ReportAge, added to the end of the long grants.

Measured: the new case of TestSilentOwnersKeysMoveAfterTheOldCoordinatorsGrantsExpire fails with the old sum ("moved 12.26s after the election, but the old owner may hold the keys until 12.65s after it") and passes now.

--- a/core/ownership/host_test.go
+++ b/core/ownership/host_test.go
@@ -22,7 +22,7 @@
 }
 
 // maxReportAge is the age up to which a coordinator uses another host's record.
-const maxReportAge = 600 * time.Millisecond
+var maxReportAge = modelTiming.ReportAge
 
 // drawHostCuts draws which hosts reach the store, and which hosts reach each other.
 func (m *model) drawHostCuts() {
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -94,12 +94,13 @@
 	return o
 }
 
-// WithStoreReachableSince records that since the given time no coordinator can have found the store unreachable. The
-// inherited grants are then known to expire sooner: an earlier coordinator sent its last grants before RenewGrace had
-// passed since its store lease ended, or before UnreachableTTL had passed since the given time.
+// WithStoreReachableSince records that since the given time no coordinator can have received reports by which it finds the
+// store unreachable. The inherited grants are then known to expire sooner: an earlier coordinator sent its last grants before
+// RenewGrace had passed since its store lease ended, or before UnreachableTTL had passed since it found the store unreachable,
+// by reports that were up to ReportAge old.
 func (o Ownership) WithStoreReachableSince(since time.Time) Ownership {
 	shortGrantsEnd := o.startedAt.Add(o.timing.RenewGrace + o.timing.CallTimeout + o.timing.onSlowClock(o.timing.HoldTime))
-	longGrantsEnd := since.Add(o.timing.UnreachableTTL + o.timing.CallTimeout + o.timing.LongestHold())
+	longGrantsEnd := since.Add(o.timing.ReportAge + o.timing.UnreachableTTL + o.timing.CallTimeout + o.timing.LongestHold())
 	if until := latest(shortGrantsEnd, longGrantsEnd); until.Before(o.inheritedUntil) {
 		o.inheritedUntil = until
 	}
--- a/core/ownership/succession_test.go
+++ b/core/ownership/succession_test.go
@@ -96,6 +96,9 @@
 		{"the store was unreachable until 5 s before the election", -5 * time.Second, func(o ownership.Ownership) ownership.Ownership {
 			return o.WithStoreReachableSince(elected.Add(-5 * time.Second))
 		}, 9 * time.Second},
+		{"the last reports of an outage that ended with the election are old", modelTiming.ReportAge, func(o ownership.Ownership) ownership.Ownership {
+			return o.WithStoreReachableSince(elected)
+		}, 14 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			held, moved := lastOldGrantEnd(elected, elected.Add(c.storeDownUntil)), silentServerMovedAt(c.withKnowledge)
--- a/core/ownership/timing.go
+++ b/core/ownership/timing.go
@@ -10,6 +10,8 @@
 	UnreachableHoldTime time.Duration
 	// UnreachableTTL is how long a finding that the store is unreachable stays valid.
 	UnreachableTTL time.Duration
+	// ReportAge is how old hosts' reports may be when a coordinator finds by them that the store is unreachable.
+	ReportAge time.Duration
 	// ClockSlack is the fraction by which a backend server's clock may run slow.
 	ClockSlack float64
 	// CallTimeout is the timeout of a call to a backend server. The call's message may still arrive until then.
--- a/io/slotclient/constants.go
+++ b/io/slotclient/constants.go
@@ -32,9 +32,10 @@
 	// responseBuffer is the capacity of the channel for the responses to one request: its retransmissions may get one
 	// each.
 	responseBuffer = 4
-	// reachabilityMaxAge is the age up to which another host's reachability record counts: a few of the intervals at which
-	// it is requested.
-	reachabilityMaxAge = 600 * time.Millisecond
 	// maxHeldTickets bounds the tickets in one list of slots in use. A longer list is not sent.
 	maxHeldTickets = 100
 )
+
+// ReachabilityMaxAge is the age up to which another host's reachability record counts: a few of the intervals at which it
+// is requested.
+const ReachabilityMaxAge = 600 * time.Millisecond
--- a/io/slotclient/reachability.go
+++ b/io/slotclient/reachability.go
@@ -21,7 +21,7 @@
 	all := []reachability.Reachability{c.ownReachability()}
 	now := c.now()
 	for _, h := range c.directory.Read().All() {
-		if report, ok := c.peerReachabilities.Load(h.Address); ok && h.Name != c.name && now.Sub(report.(peerReachability).receivedAt) <= reachabilityMaxAge {
+		if report, ok := c.peerReachabilities.Load(h.Address); ok && h.Name != c.name && now.Sub(report.(peerReachability).receivedAt) <= ReachabilityMaxAge {
 			all = append(all, report.(peerReachability).reachability)
 		}
 	}
