Stored sets of hosts

Cause: coordinators know different hosts, since one that stops removes its entry. What one counts on is not known to the next.

Change: the key redwingsill-electorate and its value, with the sets of hosts of a coordinator and of earlier ones. Nothing uses it yet. It is not below the prefix that all hosts watch, so a write wakes no watch.

--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -24,6 +24,9 @@
 	// OwnersPrefix is the prefix of the keys of services' owners. It is not below Prefix, since owners change often and
 	// hosts that do not decide on them read them only at intervals.
 	OwnersPrefix = "redwingsill-owners/"
+	// ElectorateKey is the key of the hosts by whose reports coordinators find the store unreachable. It is not below
+	// Prefix, since only a new coordinator reads it.
+	ElectorateKey = "redwingsill-electorate"
 
 	// hostsPrefix is the prefix of the keys of hosts.
 	hostsPrefix = Prefix + "hosts/"
@@ -62,7 +65,26 @@
 	return json.Marshal(coordinatorDocument{Name: name, WriteID: writeID})
 }
 
-// WriteIDOf returns the write ID in a value of the coordinator's key or of an owners' key, or "" if there is none.
+// EncodeElectorate returns the value of the electorate's key: the coordinator's set of hosts, and those of earlier
+// coordinators.
+func EncodeElectorate(hosts []string, earlier [][]string, writeID string) ([]byte, error) {
+	return json.Marshal(electorateDocument{Hosts: hosts, Earlier: earlier, WriteID: writeID})
+}
+
+// DecodeElectorate returns the sets of hosts in a value, that of the coordinator that wrote it first. It is an error if no
+// coordinator can have written the value.
+func DecodeElectorate(value []byte) ([][]string, error) {
+	var d electorateDocument
+	if err := json.Unmarshal(value, &d); err != nil {
+		return nil, err
+	}
+	if err := d.check(); err != nil {
+		return nil, err
+	}
+	return append([][]string{d.Hosts}, d.Earlier...), nil
+}
+
+// WriteIDOf returns the write ID in a value of the coordinator's key, of an owners' key or of the electorate's key, or "" if there is none.
 func WriteIDOf(value []byte) string {
 	var d struct {
 		WriteID string `json:"Mark"`
