Writes of the coordinator share their retries

Change: the retry of a write until its result is known, and the comparison of write IDs after a conflict, are a method for any key. No change of behaviour.

--- a/io/coordination/commands.go
+++ b/io/coordination/commands.go
@@ -5,7 +5,6 @@
 
 	"redwingsill/core/command"
 	"redwingsill/core/keymap"
-	"redwingsill/core/kind"
 	"redwingsill/core/ownership"
 	"redwingsill/core/record"
 	"redwingsill/core/transaction"
@@ -147,13 +146,7 @@
 	write := transaction.Transaction{}.WithExpected(registry.CoordinatorKey, tenureRevision).
 		WithExpected(registry.OwnersKey(name), revision).WithPut(registry.OwnersKey(name), value, 0)
 	c.startCall(func(ctx context.Context) func() {
-		result, newRevision := command.Lost, int64(0)
-		for result == command.Lost && ctx.Err() == nil {
-			result, newRevision = c.trySaveOwners(ctx, name, writeID, write)
-			if result == command.Lost {
-				task.Sleep(ctx, saveRetryDelay)
-			}
-		}
+		result, newRevision := c.write(ctx, registry.OwnersKey(name), writeID, write)
 		return func() {
 			// Also logged if the write failed: Result tells whether the owners were saved.
 			c.log.Info("owners saved", "Service", name, "Result", result.String(), "Revision", newRevision, "Holdings", len(cmd.Keys.Holdings()))
@@ -164,24 +157,3 @@
 		}
 	})
 }
-
-// trySaveOwners writes the owners once. It returns the result and, if that is Done, the new revision of the owners'
-// key. If the write conflicts, it compares the stored write ID with its own, since an earlier attempt whose response
-// was lost may have taken effect.
-func (c *Coordination) trySaveOwners(ctx context.Context, name, writeID string, write transaction.Transaction) (command.Result, int64) {
-	newRevision, err := c.store.Commit(ctx, write)
-	switch {
-	case err == nil:
-		return command.Done, newRevision
-	case !kind.Is(err, kind.Conflict):
-		return command.Lost, 0
-	}
-	r, err := c.store.Get(ctx, registry.OwnersKey(name))
-	switch {
-	case err != nil:
-		return command.Lost, 0
-	case registry.WriteIDOf(r.Value) == writeID:
-		return command.Done, r.Revision
-	}
-	return command.Stale, 0
-}
