Coordinators count on stored sets of hosts to find the store unreachable

Cause: a coordinator found the store unreachable by two thirds of the hosts that it knew, and its successor took the store as reachable by half of those that it knew. The two groups were taken to have a host in common. Hosts remove their entries at SIGTERM, so a coordinator knew 4 hosts, its successor 11, and 4 of 4 and 6 of 11 had none in common. The successor did not wait for the long grants of the other. A report also became a sign of a lost store by its age alone, while the host reached the store.

Change: a coordinator stores the names of the hosts whose reports count (core/electorate), on the condition that its own key and that of the set are unchanged, and retries until the result is known. It finds the store unreachable only by two thirds of that set, and while a write of another set has no known result, of both. Its successor reads the set after its election, when no write of an earlier one can take effect, and takes the store as reachable by more than a third of each set. The value keeps the sets of earlier coordinators until their grants have expired. Without readable sets the successor waits for the longest grants, and stores nothing before their end. A report says what held when it came. That is one read and one write for each election, and one write when more than a sixth of the set has changed.

--- /dev/null
+++ b/core/electorate/electorate.go
@@ -0,0 +1,117 @@
+// Package electorate decides by the reports of which hosts a coordinator finds the store unreachable, and by those of which
+// hosts its successor knows that it can't. Both sides name the same sets of hosts, since the sets are stored before they
+// count.
+package electorate
+
+import (
+	"slices"
+	"time"
+
+	"redwingsill/core/reachability"
+)
+
+// changeDivisor is the size of a set divided by the number of hosts that may join or leave before the set is stored anew.
+const changeDivisor = 6
+
+// Electorate holds the sets of hosts, by sorted names, whose reports count for one coordinator and for earlier ones. It is
+// immutable. With the zero value nothing is stored or known.
+type Electorate struct {
+	// revision is the store revision at which the coordinator was elected.
+	revision int64
+	// earlier has the sets of the coordinators whose grants may still be in force, once isEarlierKnown is set.
+	earlier        [][]string
+	isEarlierKnown bool
+	// own is the coordinator's set that was stored last, and writing the one whose write has no known result. Either is nil if
+	// there is none.
+	own, writing []string
+}
+
+// New returns the electorate of the coordinator elected at a revision. It knows nothing of earlier coordinators.
+func New(revision int64) Electorate { return Electorate{revision: revision} }
+
+// WithEarlier sets the sets of all earlier coordinators whose grants may still be in force. Sets without a host or with
+// the same hosts as another are left out.
+func (e Electorate) WithEarlier(sets [][]string) Electorate {
+	e.earlier, e.isEarlierKnown = nil, true
+	for _, set := range sets {
+		hosts := slices.Compact(slices.Sorted(slices.Values(set)))
+		if len(hosts) > 0 && !slices.ContainsFunc(e.earlier, func(other []string) bool { return slices.Equal(other, hosts) }) {
+			e.earlier = append(e.earlier, hosts)
+		}
+	}
+	return e
+}
+
+// IsEarlierKnown reports whether the sets of earlier coordinators are known.
+func (e Electorate) IsEarlierKnown() bool { return e.isEarlierKnown }
+
+// Earlier returns the sets of earlier coordinators.
+func (e Electorate) Earlier() [][]string { return e.earlier }
+
+// NeedsWrite reports whether a set of the given hosts should be stored: no write is under way, and none is stored or more
+// than a sixth of it differs.
+func (e Electorate) NeedsWrite(hosts []string) bool {
+	if !e.isEarlierKnown || e.writing != nil || len(hosts) == 0 {
+		return false
+	}
+	return e.own == nil || differences(e.own, slices.Sorted(slices.Values(hosts)))*changeDivisor > len(e.own)
+}
+
+// WithWrite records that a write of a set has begun.
+func (e Electorate) WithWrite(hosts []string) Electorate {
+	e.writing = slices.Sorted(slices.Values(hosts))
+	return e
+}
+
+// WithWriteResult records whether the write has taken effect. It must be known.
+func (e Electorate) WithWriteResult(isWritten bool) Electorate {
+	if isWritten {
+		e.own = e.writing
+	}
+	e.writing = nil
+	return e
+}
+
+// Size returns the number of hosts in the coordinator's set that was stored last.
+func (e Electorate) Size() int { return len(e.own) }
+
+// EarlierSize returns the number of hosts in the sets of earlier coordinators, each counted once.
+func (e Electorate) EarlierSize() int {
+	all := slices.Concat(e.earlier...)
+	slices.Sort(all)
+	return len(slices.Compact(all))
+}
+
+// IsStoreUnreachable reports whether, by the hosts' reports, the store is unreachable for at least two thirds of the set
+// that a later coordinator will read. While a write has no known result, this can be either of two.
+func (e Electorate) IsStoreUnreachable(reports map[string]reachability.Reachability) bool {
+	return e.own != nil && reachability.IsStoreUnreachable(reports, e.own, e.revision) &&
+		(e.writing == nil || reachability.IsStoreUnreachable(reports, e.writing, e.revision))
+}
+
+// StoreReachableSince returns the time since which no earlier coordinator can have received, or will receive, reports by
+// which the store is unreachable, and whether it is known. It is the zero time if no earlier one may act any more.
+func (e Electorate) StoreReachableSince(reports map[string]reachability.Reachability) (time.Time, bool) {
+	var latest time.Time
+	for _, hosts := range e.earlier {
+		since, ok := reachability.StoreReachableSince(reports, hosts, e.revision)
+		if !ok {
+			return time.Time{}, false
+		}
+		if since.After(latest) {
+			latest = since
+		}
+	}
+	return latest, e.isEarlierKnown
+}
+
+// differences returns how many names only one of two sorted lists has.
+func differences(a, b []string) int {
+	common := 0
+	for _, name := range a {
+		if _, ok := slices.BinarySearch(b, name); ok {
+			common++
+		}
+	}
+	return len(a) + len(b) - 2*common
+}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -76,7 +76,7 @@
 		members: map[string]instance.Instance{}, servers: map[string]serverState{}, renewals: map[keyrange.Range]*renewal{},
 		moves: map[keyrange.Range]move{}, pendingGrants: map[int64]pendingGrant{}, pendingReleases: map[int64]pendingRelease{}}
 	if fence > 0 {
-		o.inheritedUntil = now.Add(t.UnreachableRenewGrace + t.CallTimeout + t.LongestHold())
+		o.inheritedUntil = now.Add(t.LongestInheritance())
 	}
 	return o
 }
--- a/core/ownership/timing.go
+++ b/core/ownership/timing.go
@@ -40,6 +40,11 @@
 	MaxMoves int
 }
 
+// LongestInheritance returns the longest time after an election for which a grant of an earlier coordinator may be in force.
+func (t Timing) LongestInheritance() time.Duration {
+	return t.UnreachableRenewGrace + t.CallTimeout + t.LongestHold()
+}
+
 // LongestHold returns the longest time that a grant may be in force after it arrived, even if the server's clock runs
 // slow.
 func (t Timing) LongestHold() time.Duration {
--- a/core/reachability/reachability.go
+++ b/core/reachability/reachability.go
@@ -1,5 +1,5 @@
 // Package reachability tracks how long entry hosts have reached the store, and combines the hosts' records. While the
-// store is unreachable for at least two thirds of the hosts, the coordinator may renew its grants for longer. Another
+// store is unreachable for at least two thirds of a set of hosts, the coordinator may renew its grants for longer. Another
 // coordinator may still be elected; it waits for earlier grants to expire, and waits less once it knows since when no
 // earlier coordinator can have found the store unreachable.
 package reachability
@@ -9,16 +9,9 @@
 	"time"
 )
 
-const (
-	// answerTimeout is the time without an answer after which a host counts as having lost the store. A watch of the
-	// store, or a request to a host that watches it, is answered sooner even under load.
-	answerTimeout = 1800 * time.Millisecond
-	// unreachableShare is the fraction of all hosts that must have lost the store for it to count as unreachable. While
-	// more than reachableShare of the hosts reach the store, no coordinator can find it unreachable: groups of these two
-	// sizes have a host in common, even if the numbers of hosts that two coordinators know differ by a sixth.
-	unreachableShare = 2.0 / 3
-	reachableShare   = 1.0 / 2
-)
+// answerTimeout is the time without an answer after which a host counts as having lost the store. A watch of the store, or a
+// request to a host that watches it, is answered sooner even under load.
+const answerTimeout = 1800 * time.Millisecond
 
 // Reachability is one host's record of when it reached the store. The zero value is the record of a host that never
 // reached it.
@@ -26,6 +19,8 @@
 	// ReachableSince is the start of the last uninterrupted period in which the host reached the store, and LastAnswer
 	// is when the store last answered.
 	ReachableSince, LastAnswer time.Time
+	// ReportedAt is when a coordinator received the record. What the record says of the store holds for that time.
+	ReportedAt time.Time
 	// CoordinatorRevision is the store revision at which the newest coordinator known to the host was elected.
 	CoordinatorRevision int64
 }
@@ -36,6 +31,12 @@
 	return r
 }
 
+// WithReportedAt returns the record as received at now.
+func (r Reachability) WithReportedAt(now time.Time) Reachability {
+	r.ReportedAt = now
+	return r
+}
+
 // WithAnswer records an answer from the store at now.
 func (r Reachability) WithAnswer(now time.Time) Reachability {
 	if r.IsLost(now) {
@@ -50,31 +51,35 @@
 	return r.LastAnswer.IsZero() || now.Sub(r.LastAnswer) > answerTimeout
 }
 
-// IsStoreUnreachable reports, for the coordinator elected at revision, whether the store is unreachable for at least
-// two thirds of the given number of hosts. Hosts that know a newer coordinator or never reached the store do not count
-// as having lost it.
-func IsStoreUnreachable(records []Reachability, hosts int, revision int64, now time.Time) bool {
+// wasLost reports whether the host had lost the store when it reported.
+func (r Reachability) wasLost() bool { return r.IsLost(r.ReportedAt) }
+
+// IsStoreUnreachable reports, for the coordinator elected at revision, whether the store is unreachable for at least two
+// thirds of a set of hosts. The records have the names of their hosts as keys. Hosts that know a newer coordinator or
+// never reached the store do not count as having lost it.
+func IsStoreUnreachable(records map[string]Reachability, hosts []string, revision int64) bool {
 	lost := 0
-	for _, r := range records {
-		if r.IsLost(now) && !r.LastAnswer.IsZero() && r.CoordinatorRevision <= revision {
+	for _, name := range hosts {
+		if r, ok := records[name]; ok && r.wasLost() && !r.LastAnswer.IsZero() && r.CoordinatorRevision <= revision {
 			lost++
 		}
 	}
-	return hosts > 0 && float64(lost) >= unreachableShare*float64(hosts)
+	return len(hosts) > 0 && 3*lost >= 2*len(hosts)
 }
 
-// StoreReachableSince returns, for the coordinator elected at revision, the time since which no earlier coordinator can
-// have found, or will find, the store unreachable. The result is false if too few hosts reach the store to say. Only
+// StoreReachableSince returns, for the coordinator elected at revision, the time since which an earlier coordinator that
+// counts on a set of hosts can't have received, and won't receive, reports by which the store is unreachable. The records
+// have the names of their hosts as keys. The result is false if too few hosts of the set reach the store to say. Only
 // hosts that know this coordinator count.
-func StoreReachableSince(records []Reachability, hosts int, revision int64, now time.Time) (time.Time, bool) {
+func StoreReachableSince(records map[string]Reachability, hosts []string, revision int64) (time.Time, bool) {
 	var since []time.Time
-	for _, r := range records {
-		if !r.IsLost(now) && r.CoordinatorRevision >= revision {
+	for _, name := range hosts {
+		if r, ok := records[name]; ok && !r.wasLost() && r.CoordinatorRevision >= revision {
 			since = append(since, r.ReachableSince)
 		}
 	}
-	needed := int(reachableShare*float64(hosts)) + 1
-	if hosts == 0 || len(since) < needed {
+	needed := len(hosts)/3 + 1 // more than a third has a host in common with two thirds
+	if len(hosts) == 0 || len(since) < needed {
 		return time.Time{}, false
 	}
 	slices.SortFunc(since, time.Time.Compare)
--- a/io/coordination/constants.go
+++ b/io/coordination/constants.go
@@ -33,7 +33,9 @@
 	reachabilityInterval = 200 * time.Millisecond
 	// loadRetryDelay is the time after which a service's owners are read again if they could not be read.
 	loadRetryDelay = 250 * time.Millisecond
-	// saveRetryDelay is the time after which a write of a service's owners is retried if its result is unknown.
+	// electorateInterval is the shortest time between two writes of the electorate.
+	electorateInterval = 5 * time.Second
+	// saveRetryDelay is the time after which a write of owners or of the electorate is retried if its result is unknown.
 	saveRetryDelay = 150 * time.Millisecond
 	// resignRetryDelay is the shortest time from the start of an attempt to revoke the lease to the next attempt.
 	resignRetryDelay = 600 * time.Millisecond
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -55,7 +55,7 @@
 	published map[string]publishedKeys
 	// reachabilityRequestedAt is when all hosts were last asked for their reachability records. isStoreUnreachable is set
 	// while less than half of this host's lease remains and the records show that the store is unreachable for at least
-	// two thirds of the hosts.
+	// two thirds of its electorate.
 	reachabilityRequestedAt time.Time
 	isStoreUnreachable      bool
 	// vacantSince is when this host first saw no coordinator, or campaignRetryDelay after its last campaign began. Its
@@ -168,6 +168,7 @@
 	now := c.now()
 	c.updateTenure(now)
 	c.loadNewServices(now)
+	c.updateElectorate(now)
 	c.checkStoreReachability(now)
 	for name, service := range c.services {
 		service.applyCompletions(now)
--- a/io/coordination/peers.go
+++ b/io/coordination/peers.go
@@ -9,6 +9,7 @@
 	// RequestReachability sends all other hosts the revision of the coordinator's key and asks for their reachability
 	// records.
 	RequestReachability(coordinatorRevision int64)
-	// Reachabilities returns this host's reachability record and the ones that the others have sent recently.
-	Reachabilities() []reachability.Reachability
+	// Reachabilities returns, by the names of the hosts, this host's reachability record and the ones that the others have
+	// sent recently, each with the time of its arrival.
+	Reachabilities() map[string]reachability.Reachability
 }
--- a/io/coordination/tenure.go
+++ b/io/coordination/tenure.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingsill/core/electorate"
 	"redwingsill/core/kind"
 	"redwingsill/core/transaction"
 	"redwingsill/io/registry"
@@ -24,6 +25,14 @@
 	isCampaigning bool
 	// resignTriedAt is when this host last tried to revoke the lease.
 	resignTriedAt time.Time
+	// electedAt is when this host learned of its election.
+	electedAt time.Time
+	// electorate has the sets of hosts by whose reports this coordinator and earlier ones find the store unreachable. It is
+	// written once its key has been read; electorateRevision is the key's last known revision.
+	electorate          electorate.Electorate
+	isElectorateRead    bool
+	electorateRevision  int64
+	electorateWrittenAt time.Time
 }
 
 // updateTenure renews this host's lease if it is the coordinator, or revokes the lease if the host is resigning. On
@@ -172,8 +181,10 @@
 // lease has the duration that the store granted, counted from startedAt, before the call that created it.
 func (c *Coordination) startTenure(leaseID, revision int64, startedAt time.Time, duration time.Duration) {
 	previous := c.tenure.revision
-	c.tenure = tenure{isCoordinator: true, leaseID: leaseID, revision: revision, leaseEnd: startedAt.Add(duration), renewedAt: startedAt}
+	c.tenure = tenure{isCoordinator: true, leaseID: leaseID, revision: revision, leaseEnd: startedAt.Add(duration), renewedAt: startedAt,
+		electedAt: c.now(), electorate: electorate.New(revision)}
 	c.log.Info("elected", "Revision", revision, "Previous", previous)
+	c.loadElectorate()
 	for name, service := range c.services {
 		if !service.isLoaded {
 			delete(c.services, name)
--- a/io/coordination/unreachable.go
+++ b/io/coordination/unreachable.go
@@ -2,12 +2,10 @@
 
 import (
 	"time"
-
-	"redwingsill/core/reachability"
 )
 
 // checkStoreReachability asks all hosts for their reachability records in two cases: while less than half of this
-// host's lease remains, to learn whether the store is unreachable for at least two thirds of the hosts, and while
+// host's lease remains, to learn whether the store is unreachable for at least two thirds of its electorate, and while
 // grants of an earlier coordinator may still be in force, to learn since when the store has been reachable without
 // interruption.
 func (c *Coordination) checkStoreReachability(now time.Time) {
@@ -27,7 +25,7 @@
 		c.reachabilityRequestedAt = now
 		c.peers.RequestReachability(c.tenure.revision)
 	}
-	records, hostCount := c.peers.Reachabilities(), c.directory.Read().Len()
+	records, electorate := c.peers.Reachabilities(), c.tenure.electorate
 	for _, r := range records {
 		if r.CoordinatorRevision > c.tenure.revision {
 			c.stepDown(r.CoordinatorRevision)
@@ -36,13 +34,13 @@
 		}
 	}
 	wasUnreachable := c.isStoreUnreachable
-	c.isStoreUnreachable = isLeaseExpiring && reachability.IsStoreUnreachable(records, hostCount, c.tenure.revision, now)
+	c.isStoreUnreachable = isLeaseExpiring && electorate.IsStoreUnreachable(records)
 	if c.isStoreUnreachable != wasUnreachable {
 		// "away" means unreachable, and "nearly all" at least two thirds. IsAway is the new state, and Told the number
 		// of records.
-		c.log.Info("store away for nearly all hosts", "IsAway", c.isStoreUnreachable, "Told", len(records), "Hosts", hostCount)
+		c.log.Info("store away for nearly all hosts", "IsAway", c.isStoreUnreachable, "Told", len(records), "Hosts", electorate.Size())
 	}
-	since, isKnown := reachability.StoreReachableSince(records, hostCount, c.tenure.revision, now)
+	since, isKnown := electorate.StoreReachableSince(records)
 	for name, service := range c.services {
 		if !service.isLoaded {
 			continue
@@ -54,7 +52,7 @@
 			service.isStoreReachableSinceKnown = true
 			service.state = service.state.WithStoreReachableSince(since)
 			// During For, no earlier coordinator can have found the store unreachable.
-			c.log.Info("store not away before", "Service", name, "For", now.Sub(since), "Told", len(records), "Hosts", hostCount,
+			c.log.Info("store not away before", "Service", name, "For", -remaining(since, now), "Told", len(records), "Hosts", electorate.EarlierSize(),
 				"InheritedFor", remaining(service.state.InheritedUntil(), now))
 		}
 	}
--- a/io/slotclient/reachability.go
+++ b/io/slotclient/reachability.go
@@ -16,13 +16,16 @@
 	}
 }
 
-// Reachabilities returns this host's reachability record, and those that other hosts have sent recently.
-func (c *SlotClient) Reachabilities() []reachability.Reachability {
-	all := []reachability.Reachability{c.ownReachability()}
+// Reachabilities returns, by the names of the hosts, this host's reachability record and those that other hosts have sent
+// recently.
+func (c *SlotClient) Reachabilities() map[string]reachability.Reachability {
 	now := c.now()
+	all := map[string]reachability.Reachability{c.name: c.ownReachability().WithReportedAt(now)}
 	for _, h := range c.directory.Read().All() {
-		if report, ok := c.peerReachabilities.Load(h.Address); ok && h.Name != c.name && now.Sub(report.(peerReachability).receivedAt) <= ReachabilityMaxAge {
-			all = append(all, report.(peerReachability).reachability)
+		if report, ok := c.peerReachabilities.Load(h.Address); ok && h.Name != c.name {
+			if r := report.(reachability.Reachability); now.Sub(r.ReportedAt) <= ReachabilityMaxAge {
+				all[h.Name] = r
+			}
 		}
 	}
 	return all
--- a/io/slotclient/slotclient.go
+++ b/io/slotclient/slotclient.go
@@ -147,7 +147,7 @@
 		c.updateCoordinatorRevision(n.CoordinatorRevision)
 		c.send(from, notification.ReachabilityReported{Reachability: c.ownReachability()})
 	case notification.ReachabilityReported:
-		c.peerReachabilities.Store(from, peerReachability{reachability: n.Reachability, receivedAt: c.now()})
+		c.peerReachabilities.Store(from, n.Reachability.WithReportedAt(c.now()))
 	}
 }
 
--- a/io/slotclient/slotclient_test.go
+++ b/io/slotclient/slotclient_test.go
@@ -102,6 +102,24 @@
 
 func (h *host) running() int { return h.slotServer.Pool("s").Running() }
 
+var _ = Describe("reports of reachability", func() {
+	It("have the names of the hosts, and count for a limited time", func() {
+		hosts := newHosts(3)
+		hosts[0].client.RequestReachability(7)
+		names := func() []string {
+			var names []string
+			for name, r := range hosts[0].client.Reachabilities() {
+				Expect(r.CoordinatorRevision).To(Equal(int64(7)))
+				Expect(time.Since(r.ReportedAt)).To(BeNumerically("<", slotclient.ReachabilityMaxAge+100*time.Millisecond))
+				names = append(names, name)
+			}
+			return names
+		}
+		Eventually(names).Should(ConsistOf("h0", "h1", "h2"))
+		Eventually(names).WithTimeout(2 * time.Second).Should(ConsistOf(hosts[0].name))
+	})
+})
+
 var _ = Describe("acquiring a slot", func() {
 	It("tells the host that gave out the slot what the server announced, with results and with unused slots", func() {
 		hosts := newHosts(2)
