Owners that are read again may hold long grants of the same coordinator

Cause: a coordinator whose lease outlasts an outage of the store drops its ownership after UnreachableRenewGrace, and reads the owners again in the same tenure. Its own set of hosts is not among those of earlier coordinators, so it took the store as reachable all along and its own long grants as expired early.

Change: the time since which the store has been reachable is no earlier than this host's last finding that it is unreachable, in any tenure. The sets of earlier coordinators are kept until no loaded service has inherited grants either.

Measured: TestOwnersThatAreReadAgainMayHoldLongGrantsOfThisHost fails without the bound ("earlier grants count for 9.2s after the store was found unreachable, want 12s at least") and passes with it.

--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -58,6 +58,8 @@
 	// two thirds of its electorate.
 	reachabilityRequestedAt time.Time
 	isStoreUnreachable      bool
+	// storeUnreachableAt is when this host, in any tenure, last found the store unreachable, or the zero time.
+	storeUnreachableAt time.Time
 	// vacantSince is when this host first saw no coordinator, or campaignRetryDelay after its last campaign began. Its
 	// campaign delay counts from then. It is zero while another host is the coordinator.
 	vacantSince time.Time
--- a/io/coordination/electorate.go
+++ b/io/coordination/electorate.go
@@ -50,7 +50,8 @@
 		return
 	}
 	e := c.tenure.electorate
-	if !now.Before(c.tenure.electedAt.Add(c.timing.LongestInheritance())) || !e.IsEarlierKnown() && c.hasNoInheritedGrants(now) {
+	mayEarlierAct := now.Before(c.tenure.electedAt.Add(c.timing.LongestInheritance()))
+	if c.hasNoInheritedGrants(now) && (!mayEarlierAct || !e.IsEarlierKnown()) {
 		e = e.WithEarlier(nil)
 	}
 	c.tenure.electorate = e
--- a/io/coordination/electorate_test.go
+++ b/io/coordination/electorate_test.go
@@ -254,3 +254,32 @@
 		t.Errorf("stored %v, want %v; finds the store unreachable: %v", r.stored(t), want, r.findsUnreachable())
 	}
 }
+
+// A coordinator whose lease outlasts an outage of the store reads the owners again in the same tenure. They may still hold
+// keys by its own long grants.
+func TestOwnersThatAreReadAgainMayHoldLongGrantsOfThisHost(t *testing.T) {
+	r := newElectorateRun(t, storeWith(t, []string{"x", "y"}), 7)
+	r.elect()
+	r.update(0)
+	r.apply()
+	r.update(electorateTiming.LongestInheritance() + time.Second)
+	reports := func(answeredAt time.Time) peersStub {
+		all := peersStub{}
+		for _, h := range r.hosts.Read().All() {
+			all[h.Name] = reachability.Reachability{ReachableSince: answeredAt, LastAnswer: answeredAt, CoordinatorRevision: r.revision}.WithReportedAt(r.now)
+		}
+		return all
+	}
+	r.tenure.leaseEnd = r.now
+	r.peers = reports(r.now.Add(-10 * time.Second))
+	r.checkStoreReachability(r.now)
+	foundAt := r.now
+	r.now = r.now.Add(2 * time.Second)
+	r.services["s"] = &shardedService{isLoaded: true, state: ownership.New(electorateTiming, keymap.New(), 7, r.now)}
+	r.peers = reports(r.now)
+	r.checkStoreReachability(r.now)
+	lastGrantsEnd := foundAt.Add(electorateTiming.UnreachableTTL + electorateTiming.CallTimeout + electorateTiming.LongestHold())
+	if until := r.services["s"].state.InheritedUntil(); until.Before(lastGrantsEnd) || !r.services["s"].isStoreReachableSinceKnown {
+		t.Errorf("earlier grants count for %v after the store was found unreachable, want %v at least", until.Sub(foundAt), lastGrantsEnd.Sub(foundAt))
+	}
+}
--- a/io/coordination/unreachable.go
+++ b/io/coordination/unreachable.go
@@ -40,7 +40,13 @@
 		// of records.
 		c.log.Info("store away for nearly all hosts", "IsAway", c.isStoreUnreachable, "Told", len(records), "Hosts", electorate.Size())
 	}
+	if c.isStoreUnreachable {
+		c.storeUnreachableAt = now
+	}
 	since, isKnown := electorate.StoreReachableSince(records)
+	if c.storeUnreachableAt.After(since) {
+		since = c.storeUnreachableAt // owners that are read again may hold long grants of this host
+	}
 	for name, service := range c.services {
 		if !service.isLoaded {
 			continue
