Ownership model: the server that only an old coordinator reaches owns keys

Cause: the split of hosts cut off any server, mostly one without a key that the model watches.

Change: it takes the owner of a watched key.

--- a/core/ownership/host_test.go
+++ b/core/ownership/host_test.go
@@ -79,8 +79,11 @@
 	for i := range m.hosts {
 		m.hosts[i].isAway = false
 	}
-	if s := m.drawServer(); s.isAlive {
-		s.unreachableFromTerm, s.isListed = m.term+1, false
+	owner, _ := m.keys.HoldingOf(rapid.SampledFrom(sampleKeys).Draw(m.t, "key of the server"))
+	for _, s := range m.servers {
+		if s.isAlive && s.instance.Incarnation() == owner.Owner {
+			s.unreachableFromTerm, s.isListed, s.isPartitioned = m.term+1, false, false
+		}
 	}
 }
 
