--- a/io/coordination/unreachable.go
+++ b/io/coordination/unreachable.go
@@ -54,7 +54,7 @@
 		if c.isStoreUnreachable {
 			service.state = service.state.WithStoreUnreachable(now)
 		}
-		if isKnown && !service.isStoreReachableSinceKnown {
+		if isKnown && !service.isStoreReachableSinceKnown && service.state.HasInheritedGrants(now) {
 			service.isStoreReachableSinceKnown = true
 			service.state = service.state.WithStoreReachableSince(since)
 			// During For, no earlier coordinator can have found the store unreachable.
