A release is the last call on its connection

Cause: a release's answer counted as a copy if its handover was that of an earlier one on the connection. Nothing promises that two releases have different handovers. Change: a connection ends with the answer that has a handover, so no answer before it on the connection has one.

--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -32,8 +32,6 @@
 	// failedAttempts holds the hashes of the IDs of the attempts over this connection that may be sent again. Such an
 	// attempt must not use the connection again: a late copy of its earlier response would pass for the new one.
 	failedAttempts []uint64
-	// marks holds the hashes of the marks of the responses so far.
-	marks []uint64
 	// idleUntil is the time from which an idle connection must not be reused.
 	idleUntil time.Time
 	closeOnce sync.Once
@@ -56,27 +54,14 @@
 	c.failedAttempts = append(c.failedAttempts, maphash.String(hashSeed, attemptID))
 }
 
-// takesForCopy reports whether a response with the given header to r is a late copy of an earlier response, and records its mark if
-// it is not.
+// takesForCopy reports whether a response with the given header to r counts as a late copy of an earlier response.
 func (c *conn) takesForCopy(r Request, header http.Header) bool {
-	if r.Mark == nil {
-		return false
-	}
-	mark := r.Mark(header)
-	if mark == "" {
-		return r.NeedsMark && c.requests > 1
-	}
-	hash := maphash.String(hashSeed, mark)
-	if slices.Contains(c.marks, hash) {
-		return true
-	}
-	c.marks = append(c.marks, hash)
-	return false
+	return r.NeedsMark && c.requests > 1 && header.Get(r.Mark) == ""
 }
 
 // isReusableAfter reports whether the connection can carry another request after a request and its response.
 func (c *conn) isReusableAfter(r Request, response *Response) bool {
-	if response.closesConnection || r.isAlone() || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts || len(c.marks) > maxMarks {
+	if response.closesConnection || r.isAlone() || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts || r.Mark != "" && response.Header.Get(r.Mark) != "" {
 		return false
 	}
 	// A late copy of a response without an attempt ID passes for the response to the next request.
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -31,8 +31,6 @@
 	// maxFailedAttempts bounds the attempts that a connection remembers as not to be sent over it again. With more, the
 	// connection is closed.
 	maxFailedAttempts = 32
-	// maxMarks bounds the marks that a connection remembers. With more, the connection is closed.
-	maxMarks = 64
 	// copyTimeout bounds the wait for the response after a late copy of another.
 	copyTimeout = 300 * time.Millisecond
 	// leavingValue is the value of the header field with which a server says that it leaves.
--- a/io/origin/request.go
+++ b/io/origin/request.go
@@ -24,10 +24,10 @@
 	NeedsNewConnection bool
 	// Connection is the ID of the connection that carries the request if it is idle, or 0 for any.
 	Connection int64
-	// Mark returns from the header of a response what no other response on its connection has, or an empty string. A response with
-	// the mark of an earlier one is a late copy of that one, and is skipped. If Mark is nil, there are no marks.
-	Mark func(http.Header) string
-	// NeedsMark makes a response without a mark count as a late copy too, unless the connection has carried no other request.
+	// Mark is the name of a header field that only the last response on a connection has, or empty.
+	Mark string
+	// NeedsMark makes a response without the mark count as a late copy of an earlier one, which is skipped, unless the connection has
+	// carried no other request.
 	NeedsMark bool
 	// Arrived is the time at which the caller's request was read, or zero.
 	Arrived time.Time
