A new owner gets the handover until a grant is certainly acknowledged

Cause: a copied answer counted as that to the first grant, and the previous owner's state was dropped as delivered. Its keys were then slow. Change: the handover goes with the grants until one has a certain answer, or two have one.

--- a/core/ownership/grantresults.go
+++ b/core/ownership/grantresults.go
@@ -48,7 +48,7 @@
 			if r.isUnacknowledged && c.Result == command.Done {
 				o = o.withEvent(ownershipevent.RangeAcquired{Range: g.keyRange, Owner: r.owner, PreviousOwner: r.previousOwner, Fence: r.fence})
 			}
-			answered := r.withResult(c.Result, o.timing, now)
+			answered := r.withCompletion(c, o.timing, now)
 			o.renewals[g.keyRange] = &answered
 			// Stale here means that an earlier coordinator raised the token for some of these keys before it failed.
 			// The keys are released and granted again under a higher token. The release can't be skipped, since the new
--- a/core/ownership/renew.go
+++ b/core/ownership/renew.go
@@ -64,7 +64,7 @@
 		if whole.owner != h.Owner || whole.fence != h.Fence || !r.Overlaps(part) {
 			continue
 		}
-		next.handover, next.isUnacknowledged, next.acquiredAt = whole.handover, whole.isUnacknowledged, whole.acquiredAt
+		next.handover, next.isHandoverPresumed, next.isUnacknowledged, next.acquiredAt = whole.handover, whole.isHandoverPresumed, whole.isUnacknowledged, whole.acquiredAt
 		next.previousOwner = whole.previousOwner
 		if r.From <= part.From && r.To >= part.To {
 			next.sentAt = whole.sentAt
--- a/core/ownership/renewal.go
+++ b/core/ownership/renewal.go
@@ -17,21 +17,27 @@
 	fence         int64
 	sentAt        time.Time
 	isPending     bool
-	// handover is the state that the previous owner passed on. It is sent until the owner acknowledges a grant.
-	handover string
+	// handover is the state that the previous owner passed on. It is sent until the owner has acknowledged a grant with a certain answer,
+	// or two grants. isHandoverPresumed is set after the first presumed acknowledgement.
+	handover           string
+	isHandoverPresumed bool
 	// acquiredAt is when this coordinator moved the range to the owner, or the zero time if it didn't.
 	acquiredAt time.Time
 	// isUnacknowledged is set until the owner has acknowledged a grant of the range.
 	isUnacknowledged bool
 }
 
-// withResult returns the renewal after a grant call ended. A call that failed is due again after RetryDelay; after a
+// withCompletion returns the renewal after a grant call ended. A call that failed is due again after RetryDelay; after a
 // Stale one, WithGrantResults releases the range and grants it again.
-func (r renewal) withResult(result command.Result, t Timing, now time.Time) renewal {
+func (r renewal) withCompletion(c command.Completion, t Timing, now time.Time) renewal {
 	r.isPending = false
-	switch result {
+	switch c.Result {
 	case command.Done:
-		r.handover, r.isUnacknowledged = "", false
+		r.isUnacknowledged = false
+		if r.isHandoverPresumed || !c.Proof.IsPresumed {
+			r.handover = ""
+		}
+		r.isHandoverPresumed = c.Proof.IsPresumed
 	case command.Lost, command.Unsent, command.Invalid, command.Replaced:
 		r.sentAt = now.Add(t.RetryDelay - t.RenewInterval)
 	case command.Stale:
