An idle connection to a backend server is reused after the deadline of its last request

Cause: the check that a connection is idle reads from it, and the deadline of the last request stayed set, so after that time the read failed and the connection was closed. Grants have a deadline of 1 s and are renewed each 1.1 s, so nearly each renewal opened a connection. Change: the deadline is cleared before the check. Measured: TestIdleConnectionIsReusedAfterTheDeadlineOfItsLastRequest fails before.

--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -90,7 +90,8 @@
 // isIdle reports whether the peer has neither sent data nor closed the connection since the last response. In that case
 // a read from the non-blocking socket returns EAGAIN. A connection without a file descriptor counts as idle.
 func (c *conn) isIdle() bool {
-	if c.reader.Buffered() > 0 {
+	// A read after the deadline of the last request would fail although the connection is idle.
+	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		return false
 	}
 	raw, ok := c.Conn.(syscall.Conn)
