Grants arrive before the coordinator's lease ends

Cause: a coordinator that had lost the store renewed its grants for 2.2 s after its lease, beside its successor. A grant names an ID, so a server that had started again under that ID meanwhile took keys that the successor had granted to another: it had seen none of the successor's tokens.

Change: while the store isn't known to be unreachable, a grant is sent only if its call is over before the lease ends. The state is still kept for as long, since the store may be found unreachable; RenewGrace, which it was called, is now OutageDetectionTime.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -25,8 +25,8 @@
 	reservedFence int64
 	// inheritedFence is the highest token under which an earlier coordinator can have granted keys.
 	inheritedFence int64
-	// movesUntil is the end of the coordinator's store lease, when moves stop; renewals of grants stop at renewsUntil
-	// at the latest.
+	// movesUntil is the end of the coordinator's store lease, when moves stop. Grants have arrived by then, or by
+	// renewsUntil and CallTimeout while the store is unreachable.
 	movesUntil  time.Time
 	renewsUntil time.Time
 	// unreachableUntil is the time until which the store is taken to be unreachable for at least two thirds of the hosts.
@@ -81,8 +81,8 @@
 	return o
 }
 
-// WithLease sets the end of the coordinator's store lease. Renewals of grants go on after it, for RenewGrace, or for up
-// to UnreachableRenewGrace while the store is unreachable.
+// WithLease sets the end of the coordinator's store lease. Grants are sent only if they arrive before it, or, while the
+// store is unreachable, for up to UnreachableRenewGrace after it.
 func (o Ownership) WithLease(until time.Time) Ownership {
 	o.movesUntil, o.renewsUntil = until, until.Add(o.timing.UnreachableRenewGrace)
 	return o
@@ -95,10 +95,10 @@
 }
 
 // WithStoreReachableSince records that since the given time no coordinator can have found the store unreachable. The
-// inherited grants are then known to expire sooner: an earlier coordinator sent its last grants before RenewGrace had
-// passed since its store lease ended, or before UnreachableTTL had passed since the given time.
+// inherited grants are then known to expire sooner: an earlier coordinator sent its last grants before its store lease
+// ended, or before UnreachableTTL had passed since the given time.
 func (o Ownership) WithStoreReachableSince(since time.Time) Ownership {
-	shortGrantsEnd := o.startedAt.Add(o.timing.RenewGrace + o.timing.CallTimeout + o.timing.onSlowClock(o.timing.HoldTime))
+	shortGrantsEnd := o.startedAt.Add(o.timing.OutageDetectionTime + o.timing.CallTimeout + o.timing.onSlowClock(o.timing.HoldTime))
 	longGrantsEnd := since.Add(o.timing.UnreachableTTL + o.timing.CallTimeout + o.timing.LongestHold())
 	if until := latest(shortGrantsEnd, longGrantsEnd); until.Before(o.inheritedUntil) {
 		o.inheritedUntil = until
@@ -168,9 +168,22 @@
 	return ranges
 }
 
-// IsActing reports whether the coordinator may still send commands at now.
+// IsActing reports whether the coordinator may still send commands at now, or may again once it finds the store
+// unreachable.
 func (o Ownership) IsActing(now time.Time) bool {
-	return !o.isDeposed && (now.Before(o.movesUntil.Add(o.timing.RenewGrace)) || now.Before(o.renewsUntil) && now.Before(o.unreachableUntil))
+	return !o.isDeposed && (now.Before(o.movesUntil.Add(o.timing.OutageDetectionTime)) || o.renewsWithoutStore(now))
+}
+
+// maySendGrants reports whether grants may be sent at now. A grant that arrived after the end of the lease could be taken by
+// a later incarnation with the owner's ID, which has seen no tokens of the next coordinator.
+func (o Ownership) maySendGrants(now time.Time) bool {
+	return !now.Add(o.timing.CallTimeout).After(o.movesUntil) || o.renewsWithoutStore(now)
+}
+
+// renewsWithoutStore reports whether the coordinator renews its grants at now whether or not its lease has ended, since
+// the store is unreachable.
+func (o Ownership) renewsWithoutStore(now time.Time) bool {
+	return now.Before(o.renewsUntil) && now.Before(o.unreachableUntil)
 }
 
 // IsDeposed reports whether a write to the store has failed. Another coordinator may then have taken over.
--- a/core/ownership/renew.go
+++ b/core/ownership/renew.go
@@ -14,7 +14,7 @@
 	next := make(map[keyrange.Range]*renewal, len(o.renewals)+1)
 	sent := map[string][]int64{}
 	var sentRanges []keyrange.Range
-	holdTime := o.holdTime(now)
+	holdTime, maySend := o.holdTime(now), o.maySendGrants(now)
 	moving := o.movingRanges()
 	for _, h := range o.keys.Holdings() {
 		for _, part := range h.Range.MinusAll(moving) {
@@ -24,7 +24,7 @@
 				g = &derived
 			}
 			next[part] = g
-			if !g.isDue(o.timing, now) {
+			if !maySend || !g.isDue(o.timing, now) {
 				continue
 			}
 			if to, known := o.members[g.owner]; known && !o.servers[g.owner].isReplaced() {
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -49,7 +49,7 @@
 		m.stage = freed
 		o.moves[r] = m
 		return o.withFreedEvent(r, m, o.unreleasedReason(m, now)), commands
-	case !known, m.grantID != 0, m.releaseID != 0, now.Before(m.retryAt):
+	case !known, m.grantID != 0, m.releaseID != 0, now.Before(m.retryAt), !o.maySendGrants(now):
 		return o, commands
 	}
 	var id int64
--- a/core/ownership/timing.go
+++ b/core/ownership/timing.go
@@ -18,10 +18,12 @@
 	RenewInterval time.Duration
 	// RetryDelay is the time after which a failed call is retried.
 	RetryDelay time.Duration
-	// RenewGrace is how long the coordinator still renews grants after the end of its store lease.
-	// UnreachableRenewGrace replaces it while the store is known to be unreachable for at least two thirds of the hosts.
-	// Another coordinator is then unlikely to be elected, and would wait until the grants have expired.
-	RenewGrace            time.Duration
+	// OutageDetectionTime is how long the coordinator keeps its state after the end of its store lease, without sending
+	// commands, since it may find the store unreachable for at least two thirds of the hosts.
+	OutageDetectionTime time.Duration
+	// UnreachableRenewGrace is how long the coordinator still renews grants after the end of its store lease while the
+	// store is known to be unreachable for at least two thirds of the hosts. Another coordinator is then unlikely to be
+	// elected, and would wait until the grants have expired.
 	UnreachableRenewGrace time.Duration
 	// SettleTime is how long a new coordinator waits before it plans moves. While there is no map yet, each new backend
 	// server starts the wait again, so that the first map includes servers that are still starting.
