Keys move once no grant of an earlier coordinator can arrive

Cause: a release ended a hold also while an earlier coordinator, whose lease the store had ended early or which found the store unreachable, could still send grants. A server that had started again under the owner's ID took them.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -36,6 +36,8 @@
 	// inheritedUntil is when the last grant of earlier coordinators has expired, also at a backend server that doesn't
 	// answer.
 	inheritedUntil time.Time
+	// inheritedCallsUntil is when the last grant of earlier coordinators has arrived.
+	inheritedCallsUntil time.Time
 	// settledAt is when this coordinator may first plan moves.
 	settledAt time.Time
 	// members are the backend servers that discovery lists, and servers the state of those and of earlier ones, which
@@ -76,7 +78,8 @@
 		members: map[string]instance.Instance{}, servers: map[string]serverState{}, renewals: map[keyrange.Range]*renewal{},
 		moves: map[keyrange.Range]move{}, pendingGrants: map[int64]pendingGrant{}, pendingReleases: map[int64]pendingRelease{}}
 	if fence > 0 {
-		o.inheritedUntil = now.Add(t.LeaseDuration + t.UnreachableRenewGrace + t.CallTimeout + t.LongestHold())
+		o.inheritedCallsUntil = now.Add(t.LeaseDuration + t.UnreachableRenewGrace + t.CallTimeout)
+		o.inheritedUntil = o.inheritedCallsUntil.Add(t.LongestHold())
 	}
 	return o
 }
@@ -99,11 +102,10 @@
 // its store lease, or were sent before UnreachableTTL had passed since the given time. The store may have ended that lease
 // early, so that its holder counts on it for up to LeaseDuration.
 func (o Ownership) WithStoreReachableSince(since time.Time) Ownership {
-	shortGrantsEnd := o.startedAt.Add(o.timing.LeaseDuration + o.timing.onSlowClock(o.timing.HoldTime))
-	longGrantsEnd := since.Add(o.timing.UnreachableTTL + o.timing.CallTimeout + o.timing.LongestHold())
-	if until := latest(shortGrantsEnd, longGrantsEnd); until.Before(o.inheritedUntil) {
-		o.inheritedUntil = until
-	}
+	shortCallsEnd := o.startedAt.Add(o.timing.LeaseDuration)
+	longCallsEnd := since.Add(o.timing.UnreachableTTL + o.timing.CallTimeout)
+	o.inheritedCallsUntil = earliest(o.inheritedCallsUntil, latest(shortCallsEnd, longCallsEnd))
+	o.inheritedUntil = earliest(o.inheritedUntil, latest(shortCallsEnd.Add(o.timing.onSlowClock(o.timing.HoldTime)), longCallsEnd.Add(o.timing.LongestHold())))
 	return o
 }
 
@@ -114,6 +116,10 @@
 // HasInheritedGrants reports whether grants of an earlier coordinator may still be in force at now.
 func (o Ownership) HasInheritedGrants(now time.Time) bool { return now.Before(o.inheritedUntil) }
 
+// mayGetInheritedCalls reports whether a grant of an earlier coordinator may still arrive at now. An incarnation that starts
+// under the ID of a range's owner after the range was released would take it.
+func (o Ownership) mayGetInheritedCalls(now time.Time) bool { return now.Before(o.inheritedCallsUntil) }
+
 // WithMembers sets the service's backend servers from discovery.
 func (o Ownership) WithMembers(members []instance.Instance, now time.Time) Ownership {
 	next := make(map[string]instance.Instance, len(members))
@@ -246,6 +252,13 @@
 	return now.Add(o.timing.CallTimeout + o.timing.onSlowClock(holdTime))
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -26,6 +26,9 @@
 	if len(o.moves) >= o.maxMoves() && !o.hasOrphans() {
 		return o
 	}
+	if o.mayGetInheritedCalls(now) && len(o.keys.Gaps()) == 0 {
+		return o
+	}
 	o.plannedAt = now
 	if isBalancing {
 		o.balancedAt = now
@@ -114,13 +117,17 @@
 	return parts
 }
 
-// withNewMove starts the move of a range that lies in one holding or in a gap. A gap has no owner that must release it.
+// withNewMove starts the move of a range that lies in one holding or in a gap. A gap has no owner that must release it. An
+// owner keeps its range while a release would not free it.
 func (o Ownership) withNewMove(r keyrange.Range, to string, now time.Time) Ownership {
 	held := o.keys.In(r)
 	if len(held) == 0 {
 		m := move{to: to, stage: freed}
 		return o.withMove(r, m).withFreedEvent(r, m, ownershipevent.NoOwner)
 	}
+	if o.mayGetInheritedCalls(now) {
+		return o
+	}
 	m := move{to: to, stage: releasing, from: held[0].Owner, fromFence: held[0].Fence}
 	m.isLateGrantPossible = o.mayBeGrantedLate(m.from, now)
 	return o.withMove(r, m)
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -37,6 +37,10 @@
 	checkOneOwner(t, faults{revokesLeases: true})
 }
 
+func TestOneOwnerWhenALeaseIsRevokedAndAnAddressIsReused(t *testing.T) {
+	checkOneOwner(t, faults{reusesAddresses: true, revokesLeases: true})
+}
+
 func TestOneOwnerWhenACoordinatorFreezes(t *testing.T) {
 	checkOneOwner(t, faults{freezesCoordinators: true})
 }
