A host elected again reckons with a coordinator between its terms

Cause: a host that is elected again goes on with its state if the owners in the store are unchanged. A coordinator between the two terms whose writes failed may have renewed grants, of which the state knew nothing: it gave keys on while a server that only the other reached held them. And a renewal of the lease extended the state's lease before the owners had been read.

Change: WithNewTerm makes a resumed state treat all grants as inherited, as a new one does, and drops releases of the last term. It has no part in the new lease until the owners have been read.

The model ends short terms early while an earlier coordinator still keeps its state, and then lets a server be reached by that term only.

--- a/core/ownership/faults_test.go
+++ b/core/ownership/faults_test.go
@@ -76,11 +76,24 @@
 		c.frozenUntil = m.now.Add(m.drawDelay(8000))
 		m.logf("coordinator %d is frozen for %v", c.term, c.frozenUntil.Sub(m.now))
 	}
-	if m.faults.resumesTerms && m.drawRarely("term ends") {
+	if m.faults.resumesTerms && (m.drawRarely("term ends") || m.hasActingPredecessor() && m.drawOnceIn(4, "short term ends")) {
 		m.logf("term of coordinator %d ends", c.term)
 		m.leaseUntil = m.now
 		c.isAlive = !rapid.Bool().Draw(m.t, "killed")
+		if s := m.drawServer(); s.isAlive && c.isAlive && rapid.Bool().Draw(m.t, "keeps a server") {
+			s.unreachableFromTerm, s.isListed = m.term+1, false
+		}
+	}
+}
+
+// hasActingPredecessor reports whether an earlier coordinator may still be elected again with its state.
+func (m *model) hasActingPredecessor() bool {
+	for _, c := range m.coordinators {
+		if c.term < m.term && c.isAlive && c.state.IsActing(m.now) && c.revision == m.revision {
+			return true
+		}
 	}
+	return false
 }
 
 // drawRepairs ends some of the lasting faults, so that keys have owners most of the time.
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -31,7 +31,7 @@
 	renewsUntil time.Time
 	// unreachableUntil is the time until which the store is taken to be unreachable for at least two thirds of the hosts.
 	unreachableUntil time.Time
-	// startedAt is the time passed to New. This coordinator was elected no later than that.
+	// startedAt is the time passed to New, or to the last WithNewTerm. This coordinator was elected no later than that.
 	startedAt time.Time
 	// inheritedUntil is when the last grant of earlier coordinators has expired, also at a backend server that doesn't
 	// answer.
@@ -78,8 +78,7 @@
 		members: map[string]instance.Instance{}, servers: map[string]serverState{}, renewals: map[keyrange.Range]*renewal{},
 		moves: map[keyrange.Range]move{}, pendingGrants: map[int64]pendingGrant{}, pendingReleases: map[int64]pendingRelease{}}
 	if fence > 0 {
-		o.inheritedCallsUntil = now.Add(t.LeaseDuration + t.UnreachableRenewGrace + t.CallTimeout)
-		o.inheritedUntil = o.inheritedCallsUntil.Add(t.LongestHold())
+		o = o.withInheritedGrants(now)
 	}
 	return o
 }
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -53,6 +53,11 @@
 	checkOneOwner(t, faults{resumesTerms: true})
 }
 
+// A coordinator between two terms of another only goes unnoticed if its writes fail.
+func TestOneOwnerWhenAHostResumesItsTermAndSavesAreDelayed(t *testing.T) {
+	checkOneOwner(t, faults{resumesTerms: true, delaysSaves: true})
+}
+
 func TestOneOwnerWhenSavesAreDelayed(t *testing.T) {
 	checkOneOwner(t, faults{delaysSaves: true})
 }
@@ -298,7 +303,8 @@
 	if c := m.resumable(candidate); c != nil {
 		m.logf("coordinator %d resumes with term %d", c.term, m.term)
 		c.term, c.isCutOffFromStore, c.leaseEnd = m.term, false, m.leaseUntil
-		c.state = c.state.WithLease(m.leaseUntil)
+		c.isReachableSinceKnown = false
+		c.state = m.withLastOutage(c.state.WithNewTerm(m.now).WithLease(m.leaseUntil))
 		return
 	}
 	for _, c := range m.coordinators {
@@ -309,13 +315,20 @@
 	m.logf("coordinator %d elected", m.term)
 	c := &coordinator{state: ownership.New(modelTiming, m.keys, m.fence, m.now).WithLease(m.leaseUntil), term: m.term,
 		revision: m.revision, isAlive: true, host: candidate, leaseEnd: m.leaseUntil, reports: map[int]report{}}
-	if !m.faults.cutsHosts && rapid.IntRange(0, 3).Draw(m.t, "knows last outage") > 0 {
-		c.state = c.state.WithStoreReachableSince(m.lastDown)
-		m.reachableTerm = m.term
-	}
+	c.state = m.withLastOutage(c.state)
 	m.coordinators = append(m.coordinators, c)
 }
 
+// withLastOutage returns the state of a coordinator that was just elected, which mostly knows since when the store has been
+// reachable. With cutsHosts it hears so from the hosts.
+func (m *model) withLastOutage(o ownership.Ownership) ownership.Ownership {
+	if m.faults.cutsHosts || rapid.IntRange(0, 3).Draw(m.t, "knows last outage") == 0 {
+		return o
+	}
+	m.reachableTerm = m.term
+	return o.WithStoreReachableSince(m.lastDown)
+}
+
 // execute sends a command to a server or writes it to the store.
 func (m *model) execute(c *coordinator, cmd command.Command) {
 	m.t.Logf("%v coordinator %d: %T %+v", m.now.Sub(time.Unix(1_000_000, 0)), c.term, cmd, cmd)
--- a/core/ownership/succession_test.go
+++ b/core/ownership/succession_test.go
@@ -59,7 +59,12 @@
 // time if that takes more than a minute.
 func silentServerMovedAt(withKnowledge func(ownership.Ownership) ownership.Ownership) time.Time {
 	keys, _, other := twoOwners()
-	o := withKnowledge(withListed(ownership.New(modelTiming, keys, 10, elected), []instance.Instance{other}, elected))
+	return silentServerMovedBy(withKnowledge(withListed(ownership.New(modelTiming, keys, 10, elected), []instance.Instance{other}, elected)))
+}
+
+// silentServerMovedBy returns when the coordinator, elected at elected, gives the silent server's keys to the other server.
+func silentServerMovedBy(o ownership.Ownership) time.Time {
+	_, _, other := twoOwners()
 	for now := elected; now.Before(elected.Add(time.Minute)); now = now.Add(20 * time.Millisecond) {
 		next, commands := o.WithLease(now.Add(lease)).WithTick(&model{now: now, load: keyload.New()}, now)
 		o = next
@@ -128,6 +133,33 @@
 	}
 }
 
+// A coordinator between two terms of another may renew grants without a write to the store. Its lease began 1 s before the
+// other's second term, and the store ended it early.
+func TestSilentOwnersKeysMoveAfterTheGrantsOfACoordinatorBetweenTwoTermsExpire(t *testing.T) {
+	held := lastOldGrantEnd(elected.Add(lease-time.Second), elected.Add(-time.Hour))
+	keys, silent, other := twoOwners()
+	start := elected.Add(-time.Minute)
+	first := withListed(ownership.New(modelTiming, keys, 10, start), []instance.Instance{silent, other}, start).WithStoreReachableSince(start)
+	for now := start; now.Before(elected.Add(-2 * time.Second)); now = now.Add(20 * time.Millisecond) {
+		next, commands := first.WithLease(now.Add(time.Second)).WithTick(&model{now: now, load: keyload.New()}, now)
+		first = next
+		for _, c := range commands {
+			switch c := c.(type) {
+			case command.Save:
+				first = first.WithSaveResult(c, command.Done, now)
+			case command.Grant:
+				first = first.WithGrantResults([]command.Completion{{ID: c.ID, Result: command.Done}}, now)
+			case command.Release: // nothing moves to a new owner
+				first = first.WithReleaseResult(c.ID, command.Invalid, "", now)
+			}
+		}
+	}
+	moved := silentServerMovedBy(withListed(first, []instance.Instance{other}, elected).WithNewTerm(elected).WithStoreReachableSince(elected.Add(-time.Hour)))
+	if held.Before(elected) || moved.Before(held) {
+		t.Errorf("moved %v after the election, but the old owner may hold the keys until %v after it", moved.Sub(elected), held.Sub(elected))
+	}
+}
+
 func TestGrantsAreLongOnlyWhileTheStoreIsUnreachable(t *testing.T) {
 	if short, long := lastOldGrantEnd(elected, elected.Add(-time.Hour)), lastOldGrantEnd(elected, elected.Add(20*time.Second)); short.Sub(elected) > 7500*time.Millisecond ||
 		long.Sub(elected) < 20*time.Second {
--- a/io/coordination/commands.go
+++ b/io/coordination/commands.go
@@ -50,15 +50,19 @@
 }
 
 // resumeOwnership continues a service's state under a new lease of this host. It drops the state, so that the next step
-// loads it again, if the owners can't be read or another host has written them since.
+// loads it again, if the owners can't be read or another host has written them since. Until that is known the state has no
+// part in the new lease.
 func (c *Coordination) resumeOwnership(name string, service *shardedService) {
-	revision := service.revision
+	revision, tenureRevision := service.revision, c.tenure.revision
+	service.state = service.state.WithNewTerm(c.now())
+	service.isResuming, service.isStoreReachableSinceKnown = true, false
 	c.startCall(func(ctx context.Context) func() {
 		r, err := c.store.Get(ctx, registry.OwnersKey(name))
 		return func() {
-			if c.services[name] != service || service.revision != revision {
+			if c.services[name] != service || service.revision != revision || c.tenure.revision != tenureRevision {
 				return
 			}
+			service.isResuming = false
 			if err != nil || r.Revision != revision {
 				c.log.Info("ownership not resumed", "Service", name, "Revision", r.Revision, "Own", revision, "Error", err)
 				delete(c.services, name)
--- a/io/coordination/harness_test.go
+++ b/io/coordination/harness_test.go
@@ -9,6 +9,7 @@
 
 	"redwingsill/core/command"
 	"redwingsill/core/directory"
+	"redwingsill/core/instance"
 	"redwingsill/core/ownership"
 	"redwingsill/core/ownershipevent"
 	"redwingsill/core/pool"
@@ -28,6 +29,8 @@
 	RenewInterval: 1100 * time.Millisecond, RetryDelay: 250 * time.Millisecond, UnreachableRenewGrace: 9 * time.Second,
 	SettleTime: 500 * time.Millisecond, BalanceInterval: 400 * time.Millisecond, WaitingInterval: 50 * time.Millisecond, MaxMoves: 8}
 
+var testServer = instance.Instance{ID: "server", StartMillis: 1, Service: "s", Address: "10.0.0.1:80", Slots: 2}
+
 // testStart is the time of the clock of a new harness.
 var testStart = time.Unix(1_000_000, 0)
 
--- /dev/null
+++ b/io/coordination/resume_test.go
@@ -0,0 +1,46 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"redwingsill/core/holding"
+	"redwingsill/core/keymap"
+	"redwingsill/core/keyrange"
+	"redwingsill/core/ownership"
+)
+
+func newTestService(now time.Time) *shardedService {
+	keys := keymap.New(holding.Holding{Range: keyrange.All(), Owner: testServer.Incarnation(), Fence: 1})
+	return &shardedService{state: ownership.New(testTiming, keys, 0, now), isLoaded: true, isStoreReachableSinceKnown: true}
+}
+
+// A host that is elected again reckons with a coordinator between its two terms.
+func TestResumedOwnershipReckonsWithACoordinatorInBetween(t *testing.T) {
+	h := newHarness(t)
+	service := newTestService(testStart)
+	h.services["s"] = service
+	h.advance(time.Second)
+	h.startTenure(2, 2, h.clock.Load(), testTiming.LeaseDuration)
+	if !service.state.HasInheritedGrants(h.clock.Load().Add(testTiming.HoldTime)) || service.isStoreReachableSinceKnown {
+		t.Errorf("inherited grants count until %v, store known to be reachable %v; want those of a coordinator that may still act",
+			service.state.InheritedUntil(), service.isStoreReachableSinceKnown)
+	}
+}
+
+func TestResumedOwnershipHasNoLeaseUntilItsOwnersAreRead(t *testing.T) {
+	h := newHarness(t)
+	service := newTestService(testStart)
+	h.services["s"] = service
+	h.startTenure(2, 2, h.clock.Load(), testTiming.LeaseDuration)
+	read := <-h.results
+	h.renewLease(h.clock.Load())
+	h.apply()
+	if service.state.IsActing(h.clock.Load()) {
+		t.Error("the state of the last term is acting before the owners were read")
+	}
+	read()
+	if !service.state.IsActing(h.clock.Load()) {
+		t.Error("the state is not acting after the owners were read")
+	}
+}
--- a/io/coordination/shardedservice.go
+++ b/io/coordination/shardedservice.go
@@ -13,6 +13,8 @@
 	// state is valid once isLoaded is set.
 	state    ownership.Ownership
 	isLoaded bool
+	// isResuming is set while this host reads whether another one has written the owners since its last term.
+	isResuming bool
 	// isStoreReachableSinceKnown is set once the state has the time since which the store has been reachable without
 	// interruption.
 	isStoreReachableSinceKnown bool
--- a/io/coordination/tenure.go
+++ b/io/coordination/tenure.go
@@ -200,7 +200,9 @@
 			case err == nil:
 				c.tenure.leaseEnd = now.Add(c.timing.LeaseDuration)
 				for _, service := range c.services {
-					service.state = service.state.WithLease(c.tenure.leaseEnd)
+					if !service.isResuming {
+						service.state = service.state.WithLease(c.tenure.leaseEnd)
+					}
 				}
 			case kind.Is(err, kind.NotFound):
 				c.log.Warn("lease expired", "Error", err)
