A lease that may be revoked no longer counts for grants

Cause: a host that shuts down revokes its lease, and sent grants until the call was answered, or for the rest of the lease if the answer was lost. The next coordinator may have been elected meanwhile.

Change: the lease counts as ended once the call is sent. If the call had no effect, the lease counts again; a later renewal or a second call doesn't extend it.

--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -125,7 +125,7 @@
 }
 
 // Resign makes this host revoke its lease, so that the next coordinator need not wait until it expires. While it can't
-// reach the store it retries, and keeps renewing its grants for as long as [ownership.Ownership.WithLease] allows, unless
+// reach the store it retries, and keeps renewing its grants while the store is unreachable for two thirds of the hosts, unless
 // Run ends or it learns of a newer coordinator before: a host that still reaches the store can be elected once the lease
 // ends.
 func (c *Coordination) Resign() {
--- a/io/coordination/tenure.go
+++ b/io/coordination/tenure.go
@@ -98,10 +98,14 @@
 	})
 }
 
-// resign revokes the lease and drops the ownership of all services.
+// resign revokes the lease and drops the ownership of all services. Once the call is sent the lease may have ended, so it
+// no longer counts unless the call had no effect.
 func (c *Coordination) resign(now time.Time) {
 	c.tenure.resignTriedAt = now
-	leaseID := c.tenure.leaseID
+	leaseID, previousEnd := c.tenure.leaseID, c.tenure.leaseEnd
+	if now.Before(previousEnd) {
+		c.setLeaseEnd(now)
+	}
 	c.startCall(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 		defer cancel()
@@ -109,6 +113,9 @@
 		return func() {
 			if err != nil && !kind.Is(err, kind.NotFound) {
 				c.log.Warn("lease not revoked yet", "Error", err)
+				if kind.Is(err, kind.Unavailable) && c.tenure.leaseID == leaseID {
+					c.setLeaseEnd(previousEnd)
+				}
 				return
 			}
 			c.log.Info("lease revoked")
@@ -118,6 +125,16 @@
 	})
 }
 
+// setLeaseEnd sets the end of the lease, also for the services.
+func (c *Coordination) setLeaseEnd(end time.Time) {
+	c.tenure.leaseEnd = end
+	for _, service := range c.services {
+		if !service.isResuming {
+			service.state = service.state.WithLease(end)
+		}
+	}
+}
+
 // campaignDelay returns how long this host waits for higher-ranked hosts to campaign first, so that hosts do not
 // campaign at the same time.
 func (c *Coordination) campaignDelay() time.Duration {
@@ -197,13 +214,10 @@
 			}
 			c.tenure.isRenewing = false
 			switch {
+			case err == nil && !c.tenure.resignTriedAt.IsZero():
+				// The lease may be revoked since.
 			case err == nil:
-				c.tenure.leaseEnd = now.Add(c.timing.LeaseDuration)
-				for _, service := range c.services {
-					if !service.isResuming {
-						service.state = service.state.WithLease(c.tenure.leaseEnd)
-					}
-				}
+				c.setLeaseEnd(now.Add(c.timing.LeaseDuration))
 			case kind.Is(err, kind.NotFound):
 				c.log.Warn("lease expired", "Error", err)
 				c.tenure = tenure{revision: c.tenure.revision}
