Grants arrive within the call timeout of their step

Cause: the state counts a grant's hold from the time of the step and one call timeout; the calls took their deadline from a later reading of the clock. And their timeout does not count the time for which the machine is suspended, so a batch went on after it.

A grant that is not sent by then is Unsent.

Failed before, passes now: TestGrantsAreSentWithinTheCallTimeoutOfTheirStep, new (2 grants sent, want 0; 2 sent, want 1).

--- a/io/coordination/commands.go
+++ b/io/coordination/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"redwingsill/core/command"
 	"redwingsill/core/keymap"
@@ -74,9 +75,9 @@
 	})
 }
 
-// execute starts the calls for commands. Grants to one backend server are sent one after the other, so that they need
+// execute starts the calls for the commands of a step at now. Grants to one backend server are sent one after the other, so that they need
 // only one connection.
-func (c *Coordination) execute(name string, service *shardedService, commands []command.Command) {
+func (c *Coordination) execute(name string, service *shardedService, commands []command.Command, now time.Time) {
 	grants := map[string][]command.Grant{}
 	for _, cmd := range commands {
 		switch cmd := cmd.(type) {
@@ -89,14 +90,16 @@
 		}
 	}
 	for _, serverGrants := range grants {
-		c.grantAll(name, service, serverGrants)
+		c.grantAll(name, service, serverGrants, now)
 	}
 }
 
-// grantAll sends grants to one backend server. All are sent within CallTimeout from now, since the coordinator counts
-// their hold time from the end of that period. After the first grant without a response the rest stay unsent.
-func (c *Coordination) grantAll(name string, service *shardedService, grants []command.Grant) {
-	deadline := c.now().Add(c.timing.CallTimeout)
+// grantAll sends the grants of a step at now to one backend server. All arrive within CallTimeout from now, since the
+// coordinator counts their hold time from the end of that period, and its lease may end there. The clock is read before each
+// call, since a timeout does not count the time for which the machine was suspended. After the first grant without a
+// response the rest stay unsent.
+func (c *Coordination) grantAll(name string, service *shardedService, grants []command.Grant, now time.Time) {
+	deadline := now.Add(c.timing.CallTimeout)
 	c.startCall(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, deadline.Sub(c.now()))
 		defer cancel()
@@ -104,7 +107,7 @@
 		isUnreachable := false
 		for i, g := range grants {
 			answers[i].Result = command.Unsent
-			if !isUnreachable {
+			if !isUnreachable && c.now().Before(deadline) {
 				answers[i] = c.servers.Grant(ctx, g)
 				isUnreachable = answers[i].Result == command.Lost || answers[i].Result == command.Unsent
 			}
--- a/io/coordination/services.go
+++ b/io/coordination/services.go
@@ -46,7 +46,7 @@
 	state, commands := service.state.WithTick(p, now)
 	service.state = state
 	c.reportEvents(name, service, now)
-	c.execute(name, service, commands)
+	c.execute(name, service, commands, now)
 }
 
 // capacities returns, by incarnation, how many requests of average duration each backend server runs concurrently. The
