--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -25,17 +25,19 @@
 	reservedFence int64
 	// inheritedFence is the highest token under which an earlier coordinator can have granted keys.
 	inheritedFence int64
-	// movesUntil is the end of the coordinator's store lease, when moves stop; renewals of grants stop at renewsUntil
-	// at the latest.
+	// movesUntil is the end of the coordinator's store lease, when moves stop. Grants have arrived by then, or by
+	// renewsUntil and CallTimeout while the store is unreachable.
 	movesUntil  time.Time
 	renewsUntil time.Time
 	// unreachableUntil is the time until which the store is taken to be unreachable for at least two thirds of the hosts.
 	unreachableUntil time.Time
-	// startedAt is the time passed to New. This coordinator was elected no later than that.
+	// startedAt is the time passed to New, or to the last WithNewTerm. This coordinator was elected no later than that.
 	startedAt time.Time
 	// inheritedUntil is when the last grant of earlier coordinators has expired, also at a backend server that doesn't
 	// answer.
 	inheritedUntil time.Time
+	// inheritedCallsUntil is when the last grant of earlier coordinators has arrived.
+	inheritedCallsUntil time.Time
 	// settledAt is when this coordinator may first plan moves.
 	settledAt time.Time
 	// members are the backend servers that discovery lists, and servers the state of those and of earlier ones, which
@@ -76,13 +78,13 @@
 		members: map[string]instance.Instance{}, servers: map[string]serverState{}, renewals: map[keyrange.Range]*renewal{},
 		moves: map[keyrange.Range]move{}, pendingGrants: map[int64]pendingGrant{}, pendingReleases: map[int64]pendingRelease{}}
 	if fence > 0 {
-		o.inheritedUntil = now.Add(t.UnreachableRenewGrace + t.CallTimeout + t.LongestHold())
+		o = o.withInheritedGrants(now)
 	}
 	return o
 }
 
-// WithLease sets the end of the coordinator's store lease. Renewals of grants go on after it, for RenewGrace, or for up
-// to UnreachableRenewGrace while the store is unreachable.
+// WithLease sets the end of the coordinator's store lease. Grants are sent only if they arrive before it, or, while the
+// store is unreachable, for up to UnreachableRenewGrace after it.
 func (o Ownership) WithLease(until time.Time) Ownership {
 	o.movesUntil, o.renewsUntil = until, until.Add(o.timing.UnreachableRenewGrace)
 	return o
@@ -95,14 +97,14 @@
 }
 
 // WithStoreReachableSince records that since the given time no coordinator can have found the store unreachable. The
-// inherited grants are then known to expire sooner: an earlier coordinator sent its last grants before RenewGrace had
-// passed since its store lease ended, or before UnreachableTTL had passed since the given time.
+// inherited grants are then known to expire sooner: the last grants of an earlier coordinator arrived before the end of
+// its store lease, or were sent before UnreachableTTL had passed since the given time. The store may have ended that lease
+// early, so that its holder counts on it for up to LeaseDuration.
 func (o Ownership) WithStoreReachableSince(since time.Time) Ownership {
-	shortGrantsEnd := o.startedAt.Add(o.timing.RenewGrace + o.timing.CallTimeout + o.timing.onSlowClock(o.timing.HoldTime))
-	longGrantsEnd := since.Add(o.timing.UnreachableTTL + o.timing.CallTimeout + o.timing.LongestHold())
-	if until := latest(shortGrantsEnd, longGrantsEnd); until.Before(o.inheritedUntil) {
-		o.inheritedUntil = until
-	}
+	shortCallsEnd := o.startedAt.Add(o.timing.LeaseDuration)
+	longCallsEnd := since.Add(o.timing.UnreachableTTL + o.timing.CallTimeout)
+	o.inheritedCallsUntil = earliest(o.inheritedCallsUntil, latest(shortCallsEnd, longCallsEnd))
+	o.inheritedUntil = earliest(o.inheritedUntil, latest(shortCallsEnd.Add(o.timing.onSlowClock(o.timing.HoldTime)), longCallsEnd.Add(o.timing.LongestHold())))
 	return o
 }
 
@@ -113,6 +115,10 @@
 // HasInheritedGrants reports whether grants of an earlier coordinator may still be in force at now.
 func (o Ownership) HasInheritedGrants(now time.Time) bool { return now.Before(o.inheritedUntil) }
 
+// mayGetInheritedCalls reports whether a grant of an earlier coordinator may still arrive at now. An incarnation that starts
+// under the ID of a range's owner after the range was released would take it.
+func (o Ownership) mayGetInheritedCalls(now time.Time) bool { return now.Before(o.inheritedCallsUntil) }
+
 // WithMembers sets the service's backend servers from discovery.
 func (o Ownership) WithMembers(members []instance.Instance, now time.Time) Ownership {
 	next := make(map[string]instance.Instance, len(members))
@@ -168,9 +174,22 @@
 	return ranges
 }
 
-// IsActing reports whether the coordinator may still send commands at now.
+// IsActing reports whether the coordinator may still send commands at now, or may again once it finds the store
+// unreachable.
 func (o Ownership) IsActing(now time.Time) bool {
-	return !o.isDeposed && (now.Before(o.movesUntil.Add(o.timing.RenewGrace)) || now.Before(o.renewsUntil) && now.Before(o.unreachableUntil))
+	return !o.isDeposed && (now.Before(o.movesUntil.Add(o.timing.OutageDetectionTime)) || o.renewsWithoutStore(now))
+}
+
+// maySendGrants reports whether grants may be sent at now. A grant that arrived after the end of the lease could be taken by
+// a later incarnation with the owner's ID, which has seen no tokens of the next coordinator.
+func (o Ownership) maySendGrants(now time.Time) bool {
+	return !now.Add(o.timing.CallTimeout).After(o.movesUntil) || o.renewsWithoutStore(now)
+}
+
+// renewsWithoutStore reports whether the coordinator renews its grants at now whether or not its lease has ended, since
+// the store is unreachable.
+func (o Ownership) renewsWithoutStore(now time.Time) bool {
+	return now.Before(o.renewsUntil) && now.Before(o.unreachableUntil)
 }
 
 // IsDeposed reports whether a write to the store has failed. Another coordinator may then have taken over.
@@ -232,6 +251,13 @@
 	return now.Add(o.timing.CallTimeout + o.timing.onSlowClock(holdTime))
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
