A coordinator without a lease doesn't read the owners again and again

Cause: a host that can't revoke its lease, or whose lease ran out while it reached no store, stays the coordinator until it knows more. Change: the owners are read only while the lease lasts. Measured: TestOwnersAreNotReadAgainAndAgainWithoutALease fails before.

--- a/io/coordination/services.go
+++ b/io/coordination/services.go
@@ -9,8 +9,8 @@
 
 // loadNewServices loads the owners of sharded services that the coordinator does not manage yet.
 func (c *Coordination) loadNewServices(now time.Time) {
-	if !c.tenure.isCoordinator {
-		return
+	if !c.tenure.isCoordinator || !now.Before(c.tenure.leaseEnd) {
+		return // without a lease the ownership would be dropped again at once
 	}
 	for name, s := range c.routing.Read().Services {
 		if _, ok := c.services[name]; !ok && s.IsSharded {
