A response's head of many short fields used up the memory of a host

Callers saw: hundreds of responses at once with a head of thousands of short fields, and a body without end, took a host beyond its memory, so that the platform ends the process and with it the requests of all other callers.

Cause: a head is bounded by 16 KB, but not the number of its fields. A parsed field takes some hundred bytes whatever its length, so 16 KB became about 400 KB, which stay until the request's deadline while the body comes slowly. The bound was on each response; the test on the memory looked at 100 at once, and its many fields never ended in a head.

Change: a head may have 256 lines. They are counted while they are read, up to the empty line; bytes that are buffered behind an interim response count, those of a body do not. What has more is no response: the request was sent and may have run.

--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -20,6 +20,8 @@
 	maxInlineBody = 32 << 10
 	// maxResponseHead bounds a response's status line and header fields in bytes, since they are buffered in full.
 	maxResponseHead = 16 << 10
+	// maxHeadLines bounds a response's status line and header fields in lines.
+	maxHeadLines = 256
 	// maxResponseBody bounds a response body in bytes, since it is buffered in full.
 	maxResponseBody = 16 << 20
 	// maxEncodedBody bounds a response body with its chunk sizes, chunk extensions and trailers in bytes. Only a body in
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -16,7 +16,10 @@
 func (c *Client) readResponse(from *conn, r Request) (*Response, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxResponseReads {
-		from.bounded.startPart("head", maxResponseHead)
+		buffered, _ := from.reader.Peek(from.reader.Buffered()) // they are there
+		if err := from.bounded.startHead(buffered); err != nil {
+			return nil, newError("read response head", kind.Unknown, err)
+		}
 		response, err := http.ReadResponse(from.reader, request)
 		if err != nil {
 			return nil, newError("read response head", kind.Unknown, err)
