Answers to grants and releases were read up to 16 MB

Callers saw: nothing by itself. Beside it, backend servers that answer commands without end took memory from a host that coordinates, as the coordinator repeats such commands.

Cause: the answer to a command went through the reader of responses to callers, with its bound of 16 MB, though nothing of its body is used. A slow one was read until the call's timeout.

--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -46,7 +46,11 @@
 		if r.Method == http.MethodHead {
 			length = 0 // the announced one is that of the response to GET
 		}
-		body, err := c.bodies.Read(response.Body, length, maxResponseBody)
+		limit := int64(maxResponseBody)
+		if r.MaxResponseBody > 0 {
+			limit = min(limit, r.MaxResponseBody)
+		}
+		body, err := c.bodies.Read(response.Body, length, limit)
 		if err != nil {
 			return nil, newError("read response body", kind.Unknown, err)
 		}
--- a/io/origin/request.go
+++ b/io/origin/request.go
@@ -23,6 +23,8 @@
 	// late copy of an earlier response must not be taken for the response, and there is no attempt ID that tells them
 	// apart.
 	NeedsNewConnection bool
+	// MaxResponseBody bounds the response's body in bytes if it is above 0.
+	MaxResponseBody int64
 	// Arrived is the time at which the caller's request was read, or zero.
 	Arrived time.Time
 	// Deadline is the time by which the response must be complete.
