Responses counted towards no memory once they were read

Callers saw: a host whose callers take long to read, or send pipelines, kept all their responses, of up to 16 MB each, and went beyond its memory. The platform ends such a process, and all requests on it are lost.

Cause: the budget of a client's bodies (32 MB, whatever the host has) covered a body only while it was read, neither until the caller had it nor its head, and up to 64 KB not at all. Requests and commands had a budget each. So the bound was on each response and on what was being read, but not on what was kept.

A body may take at most half of what the others leave, so that long ones, however many, leave room for shorter ones. A response that doesn't fit ends its attempt as failed: it may have run, so the caller gets 502 unless the request may be repeated.

--- a/io/bodybudget/bodybudget.go
+++ b/io/bodybudget/bodybudget.go
@@ -24,6 +24,8 @@
 type BodyBudget struct {
 	// total and uncounted take the place of defaultTotal and defaultUncounted if they are not 0.
 	total, uncounted int64
+	// isFair is set if each body may take at most half of what the others leave.
+	isFair bool
 	// reserved is the memory in bytes of the buffers that are counted.
 	reserved atomic.Int64
 }
@@ -33,6 +35,12 @@
 	return &BodyBudget{total: total, uncounted: uncounted}
 }
 
+// NewFair returns a budget of total bytes for all buffers of more than uncounted bytes. A buffer may have at most half of
+// the bytes that the others leave, so that however many long bodies there are, shorter ones find room.
+func NewFair(total, uncounted int64) *BodyBudget {
+	return &BodyBudget{total: total, uncounted: uncounted, isFair: true}
+}
+
 // Reserved returns the bytes that are in use.
 func (b *BodyBudget) Reserved() int64 { return b.reserved.Load() }
 
@@ -54,7 +62,7 @@
 		return nil, release, newError(kind.Invalid, fmt.Errorf("the body has %d bytes, more than %d", length, limit))
 	}
 	total, uncounted := b.bounds()
-	if length > uncounted && b.reserved.Load()+length > total {
+	if length > uncounted && !b.fits(length, b.reserved.Load(), total) {
 		return nil, release, newError(kind.Full, fmt.Errorf("a body of %d bytes beside %d bytes of others exceeds %d", length, b.reserved.Load(), total))
 	}
 	largest := length + 1 // a buffer that is not full leaves room to read the EOF
@@ -68,8 +76,7 @@
 			if size >= largest-1 {
 				size = largest // saves a further growth for the last byte
 			}
-			if size > uncounted && b.reserved.Add(size) > total {
-				b.reserved.Add(-size)
+			if size > uncounted && !b.reserve(size, reserved, total) {
 				return nil, release, newError(kind.Full, fmt.Errorf("the bodies that are being read need more than %d bytes", total))
 			}
 			body = append(make([]byte, 0, size), body...)
@@ -91,6 +98,36 @@
 	}
 }
 
+// Hold counts size bytes until the returned function is called, unless they are few enough not to be counted.
+func (b *BodyBudget) Hold(size int64) (func(), error) {
+	total, uncounted := b.bounds()
+	if size <= uncounted {
+		return func() {}, nil
+	}
+	if !b.reserve(size, 0, total) {
+		return func() {}, newError(kind.Full, fmt.Errorf("%d bytes beside others exceed %d", size, total))
+	}
+	return func() { b.reserved.Add(-size) }, nil
+}
+
+// reserve counts size bytes more for a body that has own bytes already, and reports whether they fit.
+func (b *BodyBudget) reserve(size, own, total int64) bool {
+	others := b.reserved.Add(size) - size - own
+	if others+own+size <= total && b.fits(size, others, total) {
+		return true
+	}
+	b.reserved.Add(-size)
+	return false
+}
+
+// fits reports whether a buffer of size bytes fits beside those of other bodies.
+func (b *BodyBudget) fits(size, others, total int64) bool {
+	if b.isFair {
+		size *= 2
+	}
+	return others+size <= total
+}
+
 // bounds returns the bound of all buffers and the size up to which a buffer is not counted.
 func (b *BodyBudget) bounds() (total, uncounted int64) {
 	total, uncounted = b.total, b.uncounted
--- a/io/bodybudget/bodybudget_test.go
+++ b/io/bodybudget/bodybudget_test.go
@@ -61,3 +61,38 @@
 		t.Error(err)
 	}
 }
+
+func TestLongBodiesLeaveRoomForShorterOnes(t *testing.T) {
+	const total = 1 << 20
+	b := bodybudget.NewFair(total, 1<<10)
+	for range 1000 { // those that are read stay
+		if _, release, err := b.ReadAndHold(bytes.NewReader(make([]byte, 200<<10)), -1, 200<<10); err != nil {
+			release()
+		}
+	}
+	if reserved := b.Reserved(); reserved < total/4 || reserved > total {
+		t.Errorf("%d bytes are in use, want many of %d", reserved, total)
+	}
+	if got, release, err := b.ReadAndHold(bytes.NewReader(make([]byte, 60<<10)), -1, 200<<10); err != nil || len(got) != 60<<10 {
+		t.Errorf("a shorter body beside long ones gave %d bytes and error %v", len(got), err)
+	} else {
+		release()
+	}
+	if _, err := b.Hold(total); err == nil {
+		t.Error("a head of the size of the budget fits beside bodies")
+	}
+}
+
+func TestBudgetIsFreeAgainAfterEachHold(t *testing.T) {
+	b := bodybudget.NewFair(1<<20, 1<<10)
+	for range 10 {
+		release, err := b.Hold(400 << 10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		release()
+	}
+	if reserved := b.Reserved(); reserved != 0 {
+		t.Errorf("%d bytes are in use, want none", reserved)
+	}
+}
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -71,9 +71,9 @@
 
 // Serve serves one request of a route. The key is used only if the service is sharded; it may be [slotrequest.NoKey].
 // The deadline is that of the request or of the route's timeout, whichever is earlier. The timeout and the objective count
-// from the request's arrival, if that is known. Serve returns the response of
-// the backend server and no outcome, or, without a response, the outcome [outcome.NotRun] or [outcome.Unknown]. The
-// context must be cancelled when the caller disconnects.
+// from the request's arrival, if that is known. Serve returns the response of the backend server, which must be released when
+// it is no longer needed, and no outcome, or, without a response, the outcome [outcome.NotRun] or [outcome.Unknown]. The context
+// must be cancelled when the caller disconnects.
 func (f *Forwarder) Serve(ctx context.Context, route *rule.Rule, r origin.Request, key int) (*origin.Response, outcome.Outcome) {
 	began := f.now()
 	arrived := r.Arrived
@@ -129,12 +129,14 @@
 		if ctx.Err() == nil && s.rounds < maxRounds &&
 			s.history.MayRetry(s.route, remaining, minRetryTime, func() bool { return f.takeRetry(s.service) }) {
 			if result.Status != attemptresult.NotOwner || f.backOff(ctx, s) {
+				response.Release()
 				continue
 			}
 		}
 		if response != nil && passesToCaller(response, result.Status, s.route) {
 			return response, nil
 		}
+		response.Release()
 		retryAfter := failureRetryAfter
 		if f.keyOf(s) != slotrequest.NoKey { // no other server can run it
 			retryAfter = max(retryAfter, f.pauseOf(slot.Incarnation))
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -124,6 +124,7 @@
 	defer context.AfterFunc(i.baseContext, cancel)()
 	response, failure := i.forwarder.Serve(ctx, route, request, parseKey(r.Header.Get(i.headers.Key)))
 	if response != nil {
+		defer response.Release()
 		i.writeResponse(w, r.Method, response)
 		return
 	}
--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -25,18 +25,24 @@
 	headers headers.Names
 	now     func() time.Time
 	conns   *pool
-	bodies  bodybudget.BodyBudget
+	// bodies bounds the memory of the responses that are being read or not yet released.
+	bodies *bodybudget.BodyBudget
 }
 
 // New returns a client and a function that closes its idle connections. Deadlines are compared with now.
 func New(names headers.Names, now func() time.Time) (*Client, func()) {
-	c := &Client{headers: names, now: now, conns: newPool(now)}
+	return NewWithin(&bodybudget.BodyBudget{}, names, now)
+}
+
+// NewWithin returns a client as [New] does, which reads responses within a budget that it may share with others.
+func NewWithin(bodies *bodybudget.BodyBudget, names headers.Names, now func() time.Time) (*Client, func()) {
+	c := &Client{headers: names, now: now, conns: newPool(now), bodies: bodies}
 	return c, c.conns.close
 }
 
 // Send sends a request to one incarnation of a backend server. It returns the response, if there is one, and the result
 // of the attempt. At most limit connections to that server are open at a time. The error is nil exactly if there is a
-// response.
+// response, which must be released when it is no longer needed.
 func (c *Client) Send(ctx context.Context, to instance.Instance, r Request, limit int) (*Response, attemptresult.AttemptResult, error) {
 	began := c.now()
 	var announced announcement.Announcement
@@ -71,6 +77,7 @@
 		c.conns.closeIdle(to.Address)
 	}
 	if err != nil {
+		response.Release()
 		connection.reset()
 		switch {
 		case !isWritten && ctx.Err() == nil && !isTimeout(err): // the connection had ended before
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -22,6 +22,8 @@
 	maxResponseHead = 16 << 10
 	// maxHeadLines bounds a response's status line and header fields in lines.
 	maxHeadLines = 256
+	// fieldMemory is about how many bytes a parsed header field takes besides its text.
+	fieldMemory = 128
 	// maxResponseBody bounds a response body in bytes, since it is buffered in full.
 	maxResponseBody = 16 << 20
 	// maxEncodedBody bounds a response body with its chunk sizes, chunk extensions and trailers in bytes. Only a body in
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -46,20 +46,41 @@
 		if r.Method == http.MethodHead {
 			length = 0 // the announced one is that of the response to GET
 		}
+		releaseHead, err := c.bodies.Hold(headMemory(response.Header))
+		if err != nil {
+			return nil, newError("read response head", kind.Unknown, err)
+		}
 		limit := int64(maxResponseBody)
 		if r.MaxResponseBody > 0 {
 			limit = min(limit, r.MaxResponseBody)
 		}
-		body, err := c.bodies.Read(response.Body, length, limit)
+		body, releaseBody, err := c.bodies.ReadAndHold(response.Body, length, limit)
+		release := func() {
+			releaseHead()
+			releaseBody()
+		}
 		if err != nil {
+			release()
 			return nil, newError("read response body", kind.Unknown, err)
 		}
 		return &Response{Status: response.StatusCode, Header: response.Header, Body: body, closesConnection: response.Close,
-			keepAlive: parseKeepAlive(response.Header.Get("Keep-Alive"))}, nil
+			keepAlive: parseKeepAlive(response.Header.Get("Keep-Alive")), release: release}, nil
 	}
 	return nil, newError("match response to request", kind.Unknown, fmt.Errorf("none of %d responses is the final one to the request", maxResponseReads))
 }
 
+// headMemory returns about how many bytes of memory header fields take.
+func headMemory(h http.Header) int64 {
+	size := int64(0)
+	for name, values := range h {
+		size += fieldMemory + int64(len(name))
+		for _, value := range values {
+			size += int64(len(value))
+		}
+	}
+	return size
+}
+
 // parseKeepAlive returns the timeout parameter of a Keep-Alive header, or defaultKeepAlive if it has no valid one.
 func parseKeepAlive(value string) time.Duration {
 	for _, part := range strings.Split(value, ",") {
--- a/io/origin/response.go
+++ b/io/origin/response.go
@@ -14,4 +14,13 @@
 	closesConnection bool
 	// keepAlive is the server's Keep-Alive timeout.
 	keepAlive time.Duration
+	// release ends the response's part of the budget for responses, or is nil.
+	release func()
+}
+
+// Release frees the response's part of the memory for responses. It must be called once. It does nothing for a nil response.
+func (r *Response) Release() {
+	if r != nil && r.release != nil {
+		r.release()
+	}
 }
