A head of too many lines was waited for until the deadline

Callers saw: a request whose backend server sent more than 256 lines of a head and then nothing ended with its deadline instead of at once.

Cause: net/textproto ignores an error of the read with which it looks for the continuation of a line, and reads on.

Change: a reader that has failed stays so.

--- a/io/origin/boundedreader.go
+++ b/io/origin/boundedreader.go
@@ -15,6 +15,8 @@
 	// lineLength the bytes of the current line without its end.
 	isInHead          bool
 	lines, lineLength int
+	// failure is the error of all further reads, or nil.
+	failure error
 }
 
 // startPart lets the reader read a number of bytes from now on. Bytes of the next part that are buffered already do not
@@ -35,13 +37,16 @@
 
 // Read implements [io.Reader].
 func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.failure != nil {
+		return 0, r.failure // the parser may ignore the error of one read
+	}
 	if r.remaining <= 0 {
 		return 0, fmt.Errorf("the %s of the response has more than %d bytes", r.part, r.bound)
 	}
 	n, err := r.from.Read(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
-	if failure := r.countLines(p[:n]); failure != nil {
-		return 0, failure // the parser could take the bytes for the rest of a head
+	if r.failure = r.countLines(p[:n]); r.failure != nil {
+		return 0, r.failure // the parser could take the bytes for the rest of a head
 	}
 	return n, err
 }
--- a/io/origin/headlines_test.go
+++ b/io/origin/headlines_test.go
@@ -68,12 +68,17 @@
 		{"one more in small parts", []string{start, fields(maxHeadLines - 2), end, body}, false},
 		{"as many as allowed behind interim responses", []string{interim + interim + start + fields(maxHeadLines-3) + end + body}, true},
 		{"one more behind an interim response", []string{interim + start + fields(maxHeadLines-2) + end + body}, false},
+		{"one more where a part begins", []string{start + fields(150), fields(120)}, false},
 		{"an interim response of too many", []string{"HTTP/1.1 103 X\r\n" + fields(maxHeadLines) + "\r\n" + start + end + body}, false},
 		{"a line that ends between two parts", []string{interim + start + "A: b\r", "\n" + fields(maxHeadLines-4) + end + body}, true},
 		{"a head that ends between two parts", []string{interim + start + "Content-Length: 2000\r\n", "\r\n" + body}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			began := time.Now()
 			response, err := sendTo(t, c.blocks...)
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("took %v of 2s", took)
+			}
 			if isRead := err == nil && string(response.Body) == body; isRead != c.isRead {
 				t.Errorf("the response was read: %v, want %v; error %v", isRead, c.isRead, err)
 			}
