A request's head of many short fields used up the memory of a host

Callers saw: the same as with such heads of responses. Some hundred callers, whose requests have 2,200 header fields in 16 KB, took a host beyond its memory while their requests waited for slots and for backend servers.

Cause: that of the heads of responses, in the server for callers: header_bytes bounds the bytes of a head, not its fields.

Change: io/headlines has the counter and the bound of 256 lines for both; a request beyond it is refused with 431, as one that is too long, and has not run.

--- a/io/http1/readrequest.go
+++ b/io/http1/readrequest.go
@@ -17,7 +17,8 @@
 	if limit <= 0 {
 		limit = defaultHeaderBytes
 	}
-	c.bounded.startHead(limit + headSlack)
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // they are there
+	c.bounded.startHead(buffered, limit+headSlack)
 	r, err := http.ReadRequest(c.reader)
 	if readErr := c.bounded.endHead(); readErr != nil {
 		err = readErr
--- a/io/origin/boundedreader.go
+++ b/io/origin/boundedreader.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+
+	"redwingsill/io/headlines"
 )
 
 // boundedReader reads at most a number of bytes of a part of a response, such as its head, and then fails.
@@ -11,10 +13,9 @@
 	part      string
 	bound     int64
 	remaining int64
-	// isInHead is set until the empty line that ends a head was read. lines counts the head's lines before it, and
-	// lineLength the bytes of the current line without its end.
-	isInHead          bool
-	lines, lineLength int
+	isInHead  bool
+	// lines counts the lines of the head.
+	lines headlines.Counter
 	// failure is the error of all further reads, or nil.
 	failure error
 }
@@ -27,11 +28,10 @@
 }
 
 // startHead starts the part that is the head of a response, of which some bytes may have been buffered already. A head
-// may have maxHeadLines lines, since a parsed header field takes many times the bytes of a short line. It fails if the
-// buffered part has more.
+// may have [headlines.Max] lines; it fails if the buffered part has more.
 func (r *boundedReader) startHead(buffered []byte) error {
 	r.startPart("head", maxResponseHead)
-	r.isInHead, r.lines, r.lineLength = true, 0, 0
+	r.isInHead, r.lines = true, headlines.Counter{}
 	return r.countLines(buffered)
 }
 
@@ -51,22 +51,10 @@
 	return n, err
 }
 
-// countLines counts the lines of a head up to its end, and fails if there are too many.
+// countLines counts the lines of a head, and fails if there are too many.
 func (r *boundedReader) countLines(p []byte) error {
-	for _, b := range p {
-		switch {
-		case !r.isInHead:
-			return nil
-		case b == '\n' && r.lineLength == 0:
-			r.isInHead = false
-		case b == '\n':
-			if r.lines++; r.lines > maxHeadLines {
-				return fmt.Errorf("the head of the response has more than %d lines", maxHeadLines)
-			}
-			r.lineLength = 0
-		case b != '\r':
-			r.lineLength++
-		}
+	if r.isInHead && !r.lines.Add(p) {
+		return fmt.Errorf("the head of the response has more than %d lines", headlines.Max)
 	}
 	return nil
 }
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -20,8 +20,6 @@
 	maxInlineBody = 32 << 10
 	// maxResponseHead bounds a response's status line and header fields in bytes, since they are buffered in full.
 	maxResponseHead = 16 << 10
-	// maxHeadLines bounds a response's status line and header fields in lines.
-	maxHeadLines = 256
 	// fieldMemory is about how many bytes a parsed header field takes besides its text.
 	fieldMemory = 128
 	// maxResponseBody bounds a response body in bytes, since it is buffered in full.
--- a/io/origin/headlines_test.go
+++ b/io/origin/headlines_test.go
@@ -12,6 +12,7 @@
 
 	"redwingsill/core/instance"
 	"redwingsill/io/headers"
+	"redwingsill/io/headlines"
 )
 
 // sendTo sends a request to a server that writes a response in blocks, and returns the client's response and error.
@@ -63,14 +64,14 @@
 		blocks []string
 		isRead bool
 	}{
-		{"as many as allowed", []string{start + fields(maxHeadLines-3) + end + body}, true},
-		{"one more", []string{start + fields(maxHeadLines-2) + end + body}, false},
-		{"one more in small parts", []string{start, fields(maxHeadLines - 2), end, body}, false},
-		{"as many as allowed behind interim responses", []string{interim + interim + start + fields(maxHeadLines-3) + end + body}, true},
-		{"one more behind an interim response", []string{interim + start + fields(maxHeadLines-2) + end + body}, false},
+		{"as many as allowed", []string{start + fields(headlines.Max-3) + end + body}, true},
+		{"one more", []string{start + fields(headlines.Max-2) + end + body}, false},
+		{"one more in small parts", []string{start, fields(headlines.Max - 2), end, body}, false},
+		{"as many as allowed behind interim responses", []string{interim + interim + start + fields(headlines.Max-3) + end + body}, true},
+		{"one more behind an interim response", []string{interim + start + fields(headlines.Max-2) + end + body}, false},
 		{"one more where a part begins", []string{start + fields(150), fields(120)}, false},
-		{"an interim response of too many", []string{"HTTP/1.1 103 X\r\n" + fields(maxHeadLines) + "\r\n" + start + end + body}, false},
-		{"a line that ends between two parts", []string{interim + start + "A: b\r", "\n" + fields(maxHeadLines-4) + end + body}, true},
+		{"an interim response of too many", []string{"HTTP/1.1 103 X\r\n" + fields(headlines.Max) + "\r\n" + start + end + body}, false},
+		{"a line that ends between two parts", []string{interim + start + "A: b\r", "\n" + fields(headlines.Max-4) + end + body}, true},
 		{"a head that ends between two parts", []string{interim + start + "Content-Length: 2000\r\n", "\r\n" + body}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
