A request got no server after a late response without a body

Callers saw, on our own deployments: a request behind one whose response belonged to an earlier request ended as Unknown, though it had not reached the backend server.

Cause: the client closed the connection of the late response, but net/http had made it idle already, as it does with a response without a body before it passes it on. Until it noticed, the next request was given the closed connection.

Change: the idle connections to that server are dropped as well, which takes effect at once.

--- a/io/backendserver/client.go
+++ b/io/backendserver/client.go
@@ -92,7 +92,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if id := response.Header.Get(HeaderAttemptID); id != "" && id != request.Header.Get(HeaderAttemptID) {
-		_ = requestConn.Close() // later responses on this connection would be late too
+		_ = requestConn.Close()       // later responses on this connection would be late too
+		c.http.CloseIdleConnections() // a response without a body has made it idle already
 		return outcome.Unknown{Reason: "the answer belongs to another attempt"}, false
 	}
 	if reason := response.Header.Get(HeaderRefused); reason != "" {
--- a/io/backendserver/client_test.go
+++ b/io/backendserver/client_test.go
@@ -289,6 +289,32 @@
 		Entry("a refusal", "HTTP/1.1 503 Busy\r\n"+backendserver.HeaderRefused+": Shed\r\n%s: %s\r\nContent-Length: 0\r\n\r\n"),
 		Entry("an answer", "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nother"),
 	)
+
+	It("does not keep the next request from the server if it has no body", func() {
+		for range 1000 { // the closed connection was idle until net/http noticed
+			earlier := ""
+			s := newRawServer(func(n int64, conn net.Conn, r *http.Request) {
+				id := r.Header.Get(backendserver.HeaderAttemptID)
+				switch n {
+				case 1:
+					earlier = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", backendserver.HeaderAttemptID, id)
+					_, _ = io.WriteString(conn, earlier)
+				case 2:
+					_, _ = io.WriteString(conn, earlier)
+				default:
+					reply(conn, "ran")
+				}
+			})
+			client, closeClient := backendserver.New(s.listener.Addr().String(), 1, &bodybudget.BodyBudget{}, time.Now)
+			DeferCleanup(closeClient)
+			o, _ := client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
+			Expect(o).To(BeAssignableToTypeOf(outcome.Answered{}))
+			o, _ = client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
+			Expect(o).To(BeAssignableToTypeOf(outcome.Unknown{}))
+			o, _ = client.Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
+			Expect(o).To(HaveField("Body", []byte("ran")))
+		}
+	})
 })
 
 var _ = Describe("A response without end", func() {
