--- a/io/origin/request.go
+++ b/io/origin/request.go
@@ -29,6 +29,8 @@
 	// NeedsMark makes a response without the mark count as a late copy of an earlier one, which is skipped, unless the connection has
 	// carried no other request.
 	NeedsMark bool
+	// MaxResponseBody bounds the response's body in bytes if it is above 0.
+	MaxResponseBody int64
 	// Arrived is the time at which the caller's request was read, or zero.
 	Arrived time.Time
 	// Deadline is the time by which the response must be complete.
