--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -39,6 +39,10 @@
 	checkOneOwner(t, faults{revokesLeases: true})
 }
 
+func TestOneOwnerWhenALeaseIsRevokedAndAnAddressIsReused(t *testing.T) {
+	checkOneOwner(t, faults{reusesAddresses: true, revokesLeases: true})
+}
+
 func TestOneOwnerWhenACoordinatorFreezes(t *testing.T) {
 	checkOneOwner(t, faults{freezesCoordinators: true})
 }
@@ -51,6 +55,11 @@
 	checkOneOwner(t, faults{resumesTerms: true})
 }
 
+// A coordinator between two terms of another only goes unnoticed if its writes fail.
+func TestOneOwnerWhenAHostResumesItsTermAndSavesAreDelayed(t *testing.T) {
+	checkOneOwner(t, faults{resumesTerms: true, delaysSaves: true})
+}
+
 func TestOneOwnerWhenSavesAreDelayed(t *testing.T) {
 	checkOneOwner(t, faults{delaysSaves: true})
 }
@@ -73,7 +82,7 @@
 	})
 }
 
-var modelTiming = ownership.Timing{HoldTime: 4 * time.Second, UnreachableHoldTime: 10 * time.Second, UnreachableTTL: time.Second, ReportAge: 600 * time.Millisecond, RenewGrace: 2200 * time.Millisecond, ClockSlack: 0.025, CallTimeout: time.Second,
+var modelTiming = ownership.Timing{LeaseDuration: lease, HoldTime: 4 * time.Second, UnreachableHoldTime: 10 * time.Second, UnreachableTTL: time.Second, ReportAge: 600 * time.Millisecond, OutageDetectionTime: 2200 * time.Millisecond, ClockSlack: 0.025, CallTimeout: time.Second,
 	RenewInterval: 1100 * time.Millisecond, RetryDelay: 250 * time.Millisecond, UnreachableRenewGrace: 12 * time.Second, SettleTime: 500 * time.Millisecond,
 	BalanceInterval: 400 * time.Millisecond, WaitingInterval: 50 * time.Millisecond, MoveCooldown: 200 * time.Millisecond, MaxMoves: 8}
 
@@ -310,7 +319,8 @@
 		m.logf("coordinator %d resumes with term %d", c.term, m.term)
 		c.term, c.isCutOffFromStore, c.leaseEnd = m.term, false, m.leaseUntil
 		c.electorate, c.hasReadElectorate, c.electorateWrite = electorate.Electorate{}, false, nil
-		c.state = c.state.WithLease(m.leaseUntil)
+		c.isReachableSinceKnown = false
+		c.state = m.withLastOutage(c.state.WithNewTerm(m.now).WithLease(m.leaseUntil))
 		return
 	}
 	for _, c := range m.coordinators {
@@ -321,13 +331,20 @@
 	m.logf("coordinator %d elected", m.term)
 	c := &coordinator{state: ownership.New(modelTiming, m.keys, m.fence, m.now).WithLease(m.leaseUntil), term: m.term,
 		revision: m.revision, isAlive: true, host: candidate, leaseEnd: m.leaseUntil, reports: map[string]reachability.Reachability{}}
-	if !m.faults.cutsHosts && rapid.IntRange(0, 3).Draw(m.t, "knows last outage") > 0 {
-		c.state = c.state.WithStoreReachableSince(m.lastDown)
-		m.reachableTerm = m.term
-	}
+	c.state = m.withLastOutage(c.state)
 	m.coordinators = append(m.coordinators, c)
 }
 
+// withLastOutage returns the state of a coordinator that was just elected, which mostly knows since when the store has been
+// reachable. With cutsHosts it hears so from the hosts.
+func (m *model) withLastOutage(o ownership.Ownership) ownership.Ownership {
+	if m.faults.cutsHosts || rapid.IntRange(0, 3).Draw(m.t, "knows last outage") == 0 {
+		return o
+	}
+	m.reachableTerm = m.term
+	return o.WithStoreReachableSince(m.lastDown)
+}
+
 // execute sends a command to a server or writes it to the store.
 func (m *model) execute(c *coordinator, cmd command.Command) {
 	m.t.Logf("%v coordinator %d: %T %+v", m.now.Sub(time.Unix(1_000_000, 0)), c.term, cmd, cmd)
--- a/core/ownership/timing.go
+++ b/core/ownership/timing.go
@@ -4,6 +4,9 @@
 
 // Timing holds the coordinator's intervals, timeouts and limits.
 type Timing struct {
+	// LeaseDuration is the longest time for which a coordinator counts on its store lease after the last renewal. It is longer than
+	// CallTimeout and the time between two renewals of the lease, since grants are only sent if they arrive before its end.
+	LeaseDuration time.Duration
 	// HoldTime is how long a backend server holds keys after a grant arrives.
 	HoldTime time.Duration
 	// UnreachableHoldTime replaces HoldTime while the store is known to be unreachable.
@@ -20,10 +23,12 @@
 	RenewInterval time.Duration
 	// RetryDelay is the time after which a failed call is retried.
 	RetryDelay time.Duration
-	// RenewGrace is how long the coordinator still renews grants after the end of its store lease.
-	// UnreachableRenewGrace replaces it while the store is known to be unreachable for at least two thirds of the hosts.
-	// Another coordinator is then unlikely to be elected, and would wait until the grants have expired.
-	RenewGrace            time.Duration
+	// OutageDetectionTime is how long the coordinator keeps its state after the end of its store lease, without sending
+	// commands, since it may find the store unreachable for at least two thirds of the hosts.
+	OutageDetectionTime time.Duration
+	// UnreachableRenewGrace is how long the coordinator still renews grants after the end of its store lease while the
+	// store is known to be unreachable for at least two thirds of the hosts. Another coordinator is then unlikely to be
+	// elected, and would wait until the grants have expired.
 	UnreachableRenewGrace time.Duration
 	// SettleTime is how long a new coordinator waits before it plans moves. While there is no map yet, each new backend
 	// server starts the wait again, so that the first map includes servers that are still starting.
@@ -42,7 +47,7 @@
 
 // LongestInheritance returns the longest time after an election for which a grant of an earlier coordinator may be in force.
 func (t Timing) LongestInheritance() time.Duration {
-	return t.UnreachableRenewGrace + t.CallTimeout + t.LongestHold()
+	return t.LeaseDuration + t.UnreachableRenewGrace + t.CallTimeout + t.LongestHold()
 }
 
 // LongestHold returns the longest time that a grant may be in force after it arrived, even if the server's clock runs
--- a/io/coordination/electorate_test.go
+++ b/io/coordination/electorate_test.go
@@ -20,7 +20,7 @@
 	"redwingsill/io/task"
 )
 
-var electorateTiming = ownership.Timing{HoldTime: 4 * time.Second, UnreachableHoldTime: 10 * time.Second, UnreachableTTL: time.Second, RenewGrace: 2200 * time.Millisecond,
+var electorateTiming = ownership.Timing{LeaseDuration: 2500 * time.Millisecond, HoldTime: 4 * time.Second, UnreachableHoldTime: 10 * time.Second, UnreachableTTL: time.Second,
 	CallTimeout: time.Second, UnreachableRenewGrace: 9 * time.Second}
 
 // electorateRun is a coordinator that has just been elected at a revision, over a store in memory. Its one service has the
@@ -39,7 +39,7 @@
 	clock := func() time.Time { return run.now }
 	log := slog.New(slog.DiscardHandler)
 	routes := rcu.New(routing.Routing{Version: 1, Services: map[string]backendservice.BackendService{"s": {IsSharded: true}}})
-	run.Coordination = New("a", "1", electorateTiming, 2500*time.Millisecond, store, nil, registry.New(run.hosts, func() {}, log), run.hosts,
+	run.Coordination = New("a", "1", electorateTiming, store, nil, registry.New(run.hosts, func() {}, log), run.hosts,
 		rcu.New(roster.New()), routes, slotserver.New(clock), nil, nil, clock, log, nil)
 	group, wait := task.New(t.Context())
 	t.Cleanup(wait)
--- a/io/coordination/storestub_test.go
+++ b/io/coordination/storestub_test.go
@@ -10,14 +10,6 @@
 	"redwingsill/core/transaction"
 )
 
-// storeError is an error of a kind.
-type storeError kind.Kind
-
-func (e storeError) Error() string { return string(e) }
-
-// IsKind makes [kind.Is] recognize the kind.
-func (e storeError) IsKind(k kind.Kind) bool { return kind.Kind(e) == k }
-
 // storeStub is a key-value store in memory.
 type storeStub struct {
 	mu       sync.Mutex
--- a/io/coordination/tenure.go
+++ b/io/coordination/tenure.go
@@ -48,7 +48,7 @@
 			c.resign(now)
 		}
 	case c.tenure.isCoordinator:
-		if !c.tenure.isRenewing && now.Sub(c.tenure.renewedAt) >= c.leaseDuration/renewalsPerLease {
+		if !c.tenure.isRenewing && now.Sub(c.tenure.renewedAt) >= c.timing.LeaseDuration/renewalsPerLease {
 			c.renewLease(now)
 		}
 	case c.tenure.isCampaigning || !c.registry.HasSynced() || c.directory.Read().Len() == 0:
@@ -65,7 +65,7 @@
 		if c.unreadableRevision != currentRevision {
 			c.unreadableRevision, c.vacantSince = currentRevision, now
 		}
-		if now.Sub(c.vacantSince) >= c.leaseDuration+c.campaignDelay() {
+		if now.Sub(c.vacantSince) >= c.timing.LeaseDuration+c.campaignDelay() {
 			c.campaign(now, currentRevision)
 		}
 	case currentRevision != 0 && currentRevision != c.tenure.revision:
@@ -107,10 +107,14 @@
 	})
 }
 
-// resign revokes the lease and drops the ownership of all services.
+// resign revokes the lease and drops the ownership of all services. Once the call is sent the lease may have ended, so it
+// no longer counts unless the call had no effect.
 func (c *Coordination) resign(now time.Time) {
 	c.tenure.resignTriedAt = now
-	leaseID := c.tenure.leaseID
+	leaseID, previousEnd := c.tenure.leaseID, c.tenure.leaseEnd
+	if now.Before(previousEnd) {
+		c.setLeaseEnd(now)
+	}
 	c.startCall(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 		defer cancel()
@@ -118,6 +122,9 @@
 		return func() {
 			if err != nil && !kind.Is(err, kind.NotFound) {
 				c.log.Warn("lease not revoked yet", "Error", err)
+				if kind.Is(err, kind.Unavailable) && c.tenure.leaseID == leaseID {
+					c.setLeaseEnd(previousEnd)
+				}
 				return
 			}
 			c.log.Info("lease revoked")
@@ -127,6 +134,16 @@
 	})
 }
 
+// setLeaseEnd sets the end of the lease, also for the services.
+func (c *Coordination) setLeaseEnd(end time.Time) {
+	c.tenure.leaseEnd = end
+	for _, service := range c.services {
+		if !service.isResuming {
+			service.state = service.state.WithLease(end)
+		}
+	}
+}
+
 // campaignDelay returns how long this host waits for higher-ranked hosts to campaign first, so that hosts do not
 // campaign at the same time.
 func (c *Coordination) campaignDelay() time.Duration {
@@ -145,7 +162,7 @@
 	writeID := c.nextWriteID()
 	c.startCall(func(ctx context.Context) func() {
 		startedAt := c.now()
-		leaseID, duration, err := c.store.CreateLease(ctx, c.leaseDuration)
+		leaseID, duration, err := c.store.CreateLease(ctx, c.timing.LeaseDuration)
 		if err != nil {
 			return func() { c.campaignFailed("lease", err) }
 		}
@@ -178,10 +195,11 @@
 }
 
 // startTenure makes this host the coordinator, and resumes the ownership of services that it still has loaded. The
-// lease has the duration that the store granted, counted from startedAt, before the call that created it.
+// lease has the duration that the store granted, counted from startedAt, before the call that created it. No more than
+// LeaseDuration counts, since the next coordinator reckons with that.
 func (c *Coordination) startTenure(leaseID, revision int64, startedAt time.Time, duration time.Duration) {
 	previous := c.tenure.revision
-	c.tenure = tenure{isCoordinator: true, leaseID: leaseID, revision: revision, leaseEnd: startedAt.Add(duration), renewedAt: startedAt,
+	c.tenure = tenure{isCoordinator: true, leaseID: leaseID, revision: revision, leaseEnd: startedAt.Add(min(duration, c.timing.LeaseDuration)), renewedAt: startedAt,
 		electedAt: c.now(), electorate: electorate.New(revision)}
 	c.log.Info("elected", "Revision", revision, "Previous", previous)
 	c.loadElectorate()
@@ -194,7 +212,7 @@
 	}
 }
 
-// renewLease extends the lease by leaseDuration, which the store is assumed to have granted. The new end counts from
+// renewLease extends the lease by LeaseDuration, which the store is assumed to have granted. The new end counts from
 // before the call, so that it is never later than in the store.
 func (c *Coordination) renewLease(now time.Time) {
 	c.tenure.isRenewing, c.tenure.renewedAt = true, now
@@ -207,11 +225,10 @@
 			}
 			c.tenure.isRenewing = false
 			switch {
+			case err == nil && !c.tenure.resignTriedAt.IsZero():
+				// The lease may be revoked since.
 			case err == nil:
-				c.tenure.leaseEnd = now.Add(c.leaseDuration)
-				for _, service := range c.services {
-					service.state = service.state.WithLease(c.tenure.leaseEnd)
-				}
+				c.setLeaseEnd(now.Add(c.timing.LeaseDuration))
 			case kind.Is(err, kind.NotFound):
 				c.log.Warn("lease expired", "Error", err)
 				c.tenure = tenure{revision: c.tenure.revision}
--- a/io/origin/constants.go
+++ b/io/origin/constants.go
@@ -20,6 +20,8 @@
 	maxInlineBody = 32 << 10
 	// maxResponseHead bounds a response's status line and header fields in bytes, since they are buffered in full.
 	maxResponseHead = 16 << 10
+	// fieldMemory is about how many bytes a parsed header field takes besides its text.
+	fieldMemory = 128
 	// maxResponseBody bounds a response body in bytes, since it is buffered in full.
 	maxResponseBody = 16 << 20
 	// maxEncodedBody bounds a response body with its chunk sizes, chunk extensions and trailers in bytes. Only a body in
@@ -31,8 +33,6 @@
 	// maxFailedAttempts bounds the attempts that a connection remembers as not to be sent over it again. With more, the
 	// connection is closed.
 	maxFailedAttempts = 32
-	// maxMarks bounds the marks that a connection remembers. With more, the connection is closed.
-	maxMarks = 64
 	// copyTimeout bounds the wait for the response after a late copy of another.
 	copyTimeout = 300 * time.Millisecond
 	// leavingValue is the value of the header field with which a server says that it leaves.
