Test: resumed ownership gets its lease although a write of the last term ends meanwhile

Cause: resumeOwnership returns without a result if the owners' revision has changed since it began, and isResuming stays set. Renewals of the lease leave such a state out, so no grant is sent until it is dropped for want of a lease.

--- a/io/coordination/resume_test.go
+++ b/io/coordination/resume_test.go
@@ -4,10 +4,12 @@
 	"testing"
 	"time"
 
+	"redwingsill/core/command"
 	"redwingsill/core/holding"
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
 	"redwingsill/core/ownership"
+	"redwingsill/core/record"
 )
 
 func newTestService(now time.Time) *shardedService {
@@ -44,3 +46,24 @@
 		t.Error("the state is not acting after the owners were read")
 	}
 }
+
+// A write of the last term may have taken effect, and its answer come only in the next term.
+func TestResumedOwnershipGetsItsLeaseAlthoughAWriteOfTheLastTermEndsMeanwhile(t *testing.T) {
+	h := newHarness(t)
+	service := newTestService(testStart)
+	service.state = service.state.WithLease(testStart.Add(testTiming.LeaseDuration))
+	h.services["s"] = service
+	h.saveOwners("s", service, command.Save{ID: 1, Keys: service.state.Keys()})
+	saved := <-h.results
+	h.owners.Store(record.Record{Revision: 1})
+	h.startTenure(2, 2, h.clock.Load(), testTiming.LeaseDuration)
+	read := <-h.results
+	saved()
+	read()
+	h.advance(testTiming.LeaseDuration)
+	h.renewLease(h.clock.Load())
+	h.apply()
+	if h.services["s"] == service && !service.state.IsActing(h.clock.Load().Add(testTiming.OutageDetectionTime)) {
+		t.Errorf("the lease is renewed, but not for the state, which is still being resumed: %v", service.isResuming)
+	}
+}
