Test: hosts whose lost write a successor may have read still count

Cause: tryWrite takes a conflict with another write ID for a write without effect. It may have taken effect and have been replaced since.

--- a/io/coordination/electorate_test.go
+++ b/io/coordination/electorate_test.go
@@ -283,3 +283,31 @@
 		t.Errorf("earlier grants count for %v after the store was found unreachable, want %v at least", until.Sub(foundAt), lastGrantsEnd.Sub(foundAt))
 	}
 }
+
+// A write whose answer was lost may have taken effect although another value has replaced it since. The successor then counts on
+// its hosts, not on those of the write before.
+func TestHostsWhoseLostWriteASuccessorMayHaveReadStillCount(t *testing.T) {
+	r := newElectorateRun(t, storeWith(t, []string{"x", "y"}), 7)
+	r.elect()
+	r.update(0)
+	r.apply()
+	r.setHosts("a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k")
+	r.store.lostAnswers = 1
+	r.update(electorateInterval)
+	for hasLostAnswer := false; !hasLostAnswer; time.Sleep(time.Millisecond) {
+		r.store.mu.Lock()
+		hasLostAnswer = r.store.lostAnswers == 0
+		r.store.mu.Unlock()
+	}
+	successor := storeWith(t, []string{"g", "h", "i", "j", "k"}, r.stored(t)...).records[registry.ElectorateKey].Value
+	r.store.put(registry.CoordinatorKey, []byte(`{"Name":"g","Mark":"y"}`))
+	r.store.put(registry.ElectorateKey, successor)
+	r.apply()
+	reports := peersStub{}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		reports[name] = reachability.Reachability{ReachableSince: r.now.Add(-time.Minute), LastAnswer: r.now.Add(-10 * time.Second), CoordinatorRevision: r.revision}.WithReportedAt(r.now)
+	}
+	if r.tenure.electorate.IsStoreUnreachable(reports) {
+		t.Error("the store counts as unreachable by 4 of 6 hosts, but the successor counts on a set of 11")
+	}
+}
