An electorate whose write conflicts goes on to count, and sets of earlier coordinators are dropped in time

Cause: found by review. A write took effect, its answer was lost, a successor replaced the value, and the repeated write conflicted, which counted as not written: the coordinator went on with the set before, by which its successor didn't judge. And stored sets of earlier coordinators were dropped only at the next change of the hosts, so that hosts that have gone for good kept each later coordinator from knowing since when the store has been reachable. Change: a set counts beside the one before unless its write is known to have taken effect. Once earlier grants have expired, the electorate is written again if sets of other hosts are stored: one more write after an election, none if the hosts are the same. The cases of a failed write are gone with that result, TestHostsAreStoredOnceAfterTheElection has the same hosts before and after.

--- a/core/electorate/electorate.go
+++ b/core/electorate/electorate.go
@@ -24,6 +24,8 @@
 	// own is the coordinator's set that was stored last, and writing the one whose write has no known result. Either is nil if
 	// there is none.
 	own, writing []string
+	// hasStoredEarlier and isWritingEarlier are set if sets of earlier coordinators are stored beside own, or written beside writing.
+	hasStoredEarlier, isWritingEarlier bool
 }
 
 // New returns the electorate of the coordinator elected at a revision. It knows nothing of earlier coordinators.
@@ -48,30 +50,37 @@
 // Earlier returns the sets of earlier coordinators.
 func (e Electorate) Earlier() [][]string { return e.earlier }
 
-// NeedsWrite reports whether a set of the given hosts should be stored: no write is under way, and none is stored or more
-// than a sixth of it differs.
+// NeedsWrite reports whether a set of the given hosts should be stored: no write is under way, and none is stored, more than a
+// sixth of it differs, or sets of earlier coordinators are stored that no longer count.
 func (e Electorate) NeedsWrite(hosts []string) bool {
 	if !e.isEarlierKnown || e.writing != nil || len(hosts) == 0 {
 		return false
 	}
-	return e.own == nil || differences(e.own, slices.Sorted(slices.Values(hosts)))*changeDivisor > len(e.own)
+	return e.own == nil || e.hasStoredEarlier && len(e.earlier) == 0 || differences(e.own, slices.Sorted(slices.Values(hosts)))*changeDivisor > len(e.own)
 }
 
 // WithWrite records that a write of a set has begun.
 func (e Electorate) WithWrite(hosts []string) Electorate {
-	e.writing = slices.Sorted(slices.Values(hosts))
+	e.writing, e.isWritingEarlier = slices.Sorted(slices.Values(hosts)), len(e.EarlierBeside(hosts)) > 0
 	return e
 }
 
-// WithWriteResult records whether the write has taken effect. It must be known.
-func (e Electorate) WithWriteResult(isWritten bool) Electorate {
-	if isWritten {
-		e.own = e.writing
-	}
-	e.writing = nil
+// EarlierBeside returns the sets of earlier coordinators but one of the given hosts.
+func (e Electorate) EarlierBeside(hosts []string) [][]string {
+	own := slices.Sorted(slices.Values(hosts))
+	return slices.DeleteFunc(slices.Clone(e.earlier), func(set []string) bool { return slices.Equal(set, own) })
+}
+
+// WithWritten records that the write has taken effect. Without this call the set goes on to count beside the one before: a
+// successor may have read it and replaced it.
+func (e Electorate) WithWritten() Electorate {
+	e.own, e.writing, e.hasStoredEarlier = e.writing, nil, e.isWritingEarlier
 	return e
 }
 
+// IsWriting reports whether a write has no known result.
+func (e Electorate) IsWriting() bool { return e.writing != nil }
+
 // Size returns the number of hosts in the coordinator's set that was stored last.
 func (e Electorate) Size() int { return len(e.own) }
 
--- a/io/coordination/electorate.go
+++ b/io/coordination/electorate.go
@@ -60,7 +60,7 @@
 		return
 	}
 	writeID, revision := c.nextWriteID(), c.tenure.revision
-	value, err := registry.EncodeElectorate(hosts, e.Earlier(), writeID)
+	value, err := registry.EncodeElectorate(hosts, e.EarlierBeside(hosts), writeID)
 	if err != nil {
 		c.log.Error("electorate not encoded", "Error", err)
 		return
@@ -72,13 +72,11 @@
 		result, newRevision := c.write(ctx, registry.ElectorateKey, writeID, t)
 		return func() {
 			c.log.Info("electorate saved", "Result", result.String(), "Revision", newRevision, "Hosts", len(hosts), "Earlier", len(e.Earlier()))
-			if c.tenure.revision != revision || result == command.Lost {
+			if c.tenure.revision != revision || result != command.Done {
 				return
 			}
-			if result == command.Done {
-				c.tenure.electorateRevision = newRevision
-			}
-			c.tenure.electorate = c.tenure.electorate.WithWriteResult(result == command.Done)
+			c.tenure.electorateRevision = newRevision
+			c.tenure.electorate = c.tenure.electorate.WithWritten()
 		}
 	})
 }
