A refused renewal doesn't stop requests while no move may begin

Cause: found by review. After an election a renewal may be refused, since the earlier coordinator raised the token. Measured: TestOwnerGetsRequestsWhileItsRefusedRenewalCannotLeadToAMove fails before, 0 s after the election.

--- a/core/ownership/grantresults.go
+++ b/core/ownership/grantresults.go
@@ -53,7 +53,8 @@
 			// Stale here means that an earlier coordinator raised the token for some of these keys before it failed.
 			// The keys are released and granted again under a higher token. The release can't be skipped, since the new
 			// owner may be another server.
-			if _, isMoving := o.moves[g.keyRange]; !isMoving && c.Result == command.Stale {
+			// While grants of that coordinator can arrive, the move could not go on, and the owner would get no requests for them.
+			if _, isMoving := o.moves[g.keyRange]; !isMoving && c.Result == command.Stale && !o.mayGetInheritedCalls(now) {
 				o = o.withMove(g.keyRange, move{to: r.owner, from: r.owner, fromFence: r.fence, stage: releasing, lateGrant: ownershipevent.Superseded})
 			}
 		}
