--- a/core/ownership/grantresults.go
+++ b/core/ownership/grantresults.go
@@ -54,7 +54,7 @@
 			// The keys are released and granted again under a higher token. The release can't be skipped, since the new
 			// owner may be another server.
 			// While grants of that coordinator can arrive, the move could not go on, and the owner would get no requests for them.
-			if _, isMoving := o.moves[g.keyRange]; !isMoving && c.Result == command.Stale && !o.mayGetInheritedCalls(now) {
+			if _, isMoving := o.moves[g.keyRange]; !isMoving && c.Result == command.Stale && !o.mayInheritedGrantArrive(now) {
 				o = o.withMove(g.keyRange, move{to: r.owner, from: r.owner, fromFence: r.fence, stage: releasing, lateGrant: ownershipevent.Superseded})
 			}
 		}
--- a/core/ownership/newterm.go
+++ b/core/ownership/newterm.go
@@ -32,7 +32,7 @@
 // withInheritedGrants returns the state with any grants that an earlier coordinator may have sent before now or still sends.
 func (o Ownership) withInheritedGrants(now time.Time) Ownership {
 	o.startedAt = now
-	o.inheritedCallsUntil = now.Add(o.timing.LeaseDuration + o.timing.UnreachableRenewGrace + o.timing.CallTimeout)
-	o.inheritedUntil = o.inheritedCallsUntil.Add(o.timing.LongestHold())
+	o.inheritedArrivalsUntil = now.Add(o.timing.LeaseDuration + o.timing.UnreachableRenewGrace + o.timing.CallTimeout)
+	o.inheritedUntil = o.inheritedArrivalsUntil.Add(o.timing.LongestHold())
 	return o
 }
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -36,8 +36,8 @@
 	// inheritedUntil is when the last grant of earlier coordinators has expired, also at a backend server that doesn't
 	// answer.
 	inheritedUntil time.Time
-	// inheritedCallsUntil is when the last grant of earlier coordinators has arrived.
-	inheritedCallsUntil time.Time
+	// inheritedArrivalsUntil is when the last grant of earlier coordinators has arrived.
+	inheritedArrivalsUntil time.Time
 	// settledAt is when this coordinator may first plan moves.
 	settledAt time.Time
 	// members are the backend servers that discovery lists, and servers the state of those and of earlier ones, which
@@ -102,10 +102,10 @@
 // reports that were up to ReportAge old. The store may have ended that lease early, so that its holder counts on it for up to
 // LeaseDuration.
 func (o Ownership) WithStoreReachableSince(since time.Time) Ownership {
-	shortCallsEnd := o.startedAt.Add(o.timing.LeaseDuration)
-	longCallsEnd := since.Add(o.timing.ReportAge + o.timing.UnreachableTTL + o.timing.CallTimeout)
-	o.inheritedCallsUntil = earliest(o.inheritedCallsUntil, latest(shortCallsEnd, longCallsEnd))
-	o.inheritedUntil = earliest(o.inheritedUntil, latest(shortCallsEnd.Add(o.timing.onSlowClock(o.timing.HoldTime)), longCallsEnd.Add(o.timing.LongestHold())))
+	leasedArrivalsEnd := o.startedAt.Add(o.timing.LeaseDuration)
+	unreachableArrivalsEnd := since.Add(o.timing.ReportAge + o.timing.UnreachableTTL + o.timing.CallTimeout)
+	o.inheritedArrivalsUntil = earliest(o.inheritedArrivalsUntil, latest(leasedArrivalsEnd, unreachableArrivalsEnd))
+	o.inheritedUntil = earliest(o.inheritedUntil, latest(leasedArrivalsEnd.Add(o.timing.onSlowClock(o.timing.HoldTime)), unreachableArrivalsEnd.Add(o.timing.LongestHold())))
 	return o
 }
 
@@ -116,9 +116,11 @@
 // HasInheritedGrants reports whether grants of an earlier coordinator may still be in force at now.
 func (o Ownership) HasInheritedGrants(now time.Time) bool { return now.Before(o.inheritedUntil) }
 
-// mayGetInheritedCalls reports whether a grant of an earlier coordinator may still arrive at now. An incarnation that starts
+// mayInheritedGrantArrive reports whether a grant of an earlier coordinator may still arrive at now. An incarnation that starts
 // under the ID of a range's owner after the range was released would take it.
-func (o Ownership) mayGetInheritedCalls(now time.Time) bool { return now.Before(o.inheritedCallsUntil) }
+func (o Ownership) mayInheritedGrantArrive(now time.Time) bool {
+	return now.Before(o.inheritedArrivalsUntil)
+}
 
 // WithMembers sets the service's backend servers from discovery.
 func (o Ownership) WithMembers(members []instance.Instance, now time.Time) Ownership {
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -26,7 +26,7 @@
 	if len(o.moves) >= o.maxMoves() && !o.hasOrphans() {
 		return o
 	}
-	if o.mayGetInheritedCalls(now) && len(o.keys.Gaps()) == 0 {
+	if o.mayInheritedGrantArrive(now) && len(o.keys.Gaps()) == 0 {
 		return o
 	}
 	o.plannedAt = now
@@ -125,7 +125,7 @@
 		m := move{to: to, stage: freed}
 		return o.withMove(r, m).withFreedEvent(r, m, ownershipevent.NoOwner)
 	}
-	if o.mayGetInheritedCalls(now) {
+	if o.mayInheritedGrantArrive(now) {
 		return o
 	}
 	m := move{to: to, stage: releasing, from: held[0].Owner, fromFence: held[0].Fence}
--- a/core/ownership/serverstate.go
+++ b/core/ownership/serverstate.go
@@ -72,7 +72,7 @@
 		if c.Proof.IsPresumed {
 			return s.withPresumed(presumedGrant{keyRange: g.keyRange, fence: g.fence, until: s.pending[c.ID], proof: c.Proof}, now)
 		}
-		return s.withSettled(c.Proof).withFence(g.keyRange, g.fence)
+		return s.withSettled(c.Proof).withoutRefused(g.keyRange, g.fence)
 	case command.Stale, command.Invalid, command.Replaced:
 		return s.withSettled(c.Proof)
 	case command.Lost, command.Unsent:
@@ -98,14 +98,14 @@
 func (s serverState) withSettled(p proof.Proof) serverState {
 	for _, g := range s.presumed {
 		if p.Settles(g.proof) {
-			s = s.withFence(g.keyRange, g.fence)
+			s = s.withoutRefused(g.keyRange, g.fence)
 		}
 	}
 	return s.withoutPresumed(func(g presumedGrant) bool { return p.Settles(g.proof) })
 }
 
-// withFence drops the presumed grants that the server refuses since it has seen the token on keys of the range.
-func (s serverState) withFence(r keyrange.Range, fence int64) serverState {
+// withoutRefused drops the presumed grants that the server refuses since it has seen the token on keys of the range.
+func (s serverState) withoutRefused(r keyrange.Range, fence int64) serverState {
 	return s.withoutPresumed(func(g presumedGrant) bool { return g.fence < fence && g.keyRange.Overlaps(r) })
 }
 
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -46,11 +46,11 @@
 	}
 	s, known := o.serverOf(m.from)
 	switch {
-	case !now.Before(o.mayHoldUntil(m.from)), s.hasEnded() && !o.mayGetInheritedCalls(now) && !o.isGrantInFlight(m.from, r):
+	case !now.Before(o.mayHoldUntil(m.from)), s.hasEnded() && !o.mayInheritedGrantArrive(now) && !o.isGrantInFlight(m.from, r):
 		m.stage = freed
 		o.moves[r] = m
 		return o.withFreedEvent(r, m, o.unreleasedReason(m, now)), commands
-	case !known, s.hasEnded(), o.mayGetInheritedCalls(now), m.grantID != 0, m.releaseID != 0, now.Before(m.retryAt), !o.maySendGrants(now):
+	case !known, s.hasEnded(), o.mayInheritedGrantArrive(now), m.grantID != 0, m.releaseID != 0, now.Before(m.retryAt), !o.maySendGrants(now):
 		return o, commands
 	}
 	var id int64
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -54,14 +54,15 @@
 	c.failedAttempts = append(c.failedAttempts, maphash.String(hashSeed, attemptID))
 }
 
-// takesForCopy reports whether a response with the given header to r counts as a late copy of an earlier response.
-func (c *conn) takesForCopy(r Request, header http.Header) bool {
-	return r.NeedsMark && c.requests > 1 && header.Get(r.Mark) == ""
+// isLateCopy reports whether a response with the given header to r counts as a late copy of an earlier response.
+func (c *conn) isLateCopy(r Request, header http.Header) bool {
+	return r.RequiresFinalHeader && c.requests > 1 && header.Get(r.FinalHeader) == ""
 }
 
 // isReusableAfter reports whether the connection can carry another request after a request and its response.
 func (c *conn) isReusableAfter(r Request, response *Response) bool {
-	if response.closesConnection || r.isAlone() || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts || r.Mark != "" && response.Header.Get(r.Mark) != "" {
+	isLast := r.FinalHeader != "" && response.Header.Get(r.FinalHeader) != ""
+	if response.closesConnection || isLast || r.isAlone() || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts {
 		return false
 	}
 	// A late copy of a response without an attempt ID passes for the response to the next request.
--- a/io/origin/preferred_test.go
+++ b/io/origin/preferred_test.go
@@ -83,7 +83,7 @@
 
 const (
 	unmarked = "HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n0"
-	marked   = "HTTP/1.1 200 X\r\nX-Mark: a\r\nContent-Length: 1\r\n\r\n1"
+	marked   = "HTTP/1.1 200 X\r\nX-Final: a\r\nContent-Length: 1\r\n\r\n1"
 )
 
 func TestResponseWithoutTheMarkIsSkippedOnAUsedConnection(t *testing.T) {
@@ -100,7 +100,7 @@
 			defer closeClient()
 			send := func() (*origin.Response, error) {
 				response, _, err := client.Send(context.Background(), to, origin.Request{Method: http.MethodPost, Target: "/", Host: to.Address,
-					Deadline: time.Now().Add(5 * time.Second), NeedsMark: true, Mark: "X-Mark"}, 1)
+					Deadline: time.Now().Add(5 * time.Second), RequiresFinalHeader: true, FinalHeader: "X-Final"}, 1)
 				return response, err
 			}
 			if first, err := send(); err != nil || string(first.Body) != "0" {
@@ -122,14 +122,14 @@
 
 // A late copy of the last response would come where the next one is due.
 func TestConnectionEndsWithTheResponseThatHasTheMark(t *testing.T) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Mark", "a") }))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Final", "a") }))
 	t.Cleanup(server.Close)
 	client, closeClient := origin.New(names, time.Now)
 	t.Cleanup(closeClient)
 	to := instance.Instance{ID: "i-1", Address: server.Listener.Addr().String()}
 	for want := range int64(3) {
 		response, _, err := client.Send(context.Background(), to, origin.Request{Method: http.MethodPost, Target: "/", Host: to.Address,
-			Deadline: time.Now().Add(5 * time.Second), Mark: "X-Mark"}, 1)
+			Deadline: time.Now().Add(5 * time.Second), FinalHeader: "X-Final"}, 1)
 		if err != nil || response.Connection != want+1 || response.Ordinal != 1 {
 			t.Errorf("response %d is %+v with error %v, want one over a connection of its own", want, response, err)
 		}
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -41,7 +41,7 @@
 			}
 			continue
 		}
-		if from.takesForCopy(r, response.Header) {
+		if from.isLateCopy(r, response.Header) {
 			if response.Close {
 				return nil, newError("match response to request", kind.Unknown, errors.New("the response is a late copy of an earlier one"))
 			}
--- a/io/origin/request.go
+++ b/io/origin/request.go
@@ -24,11 +24,11 @@
 	NeedsNewConnection bool
 	// Connection is the ID of the connection that carries the request if it is idle, or 0 for any.
 	Connection int64
-	// Mark is the name of a header field that only the last response on a connection has, or empty.
-	Mark string
-	// NeedsMark makes a response without the mark count as a late copy of an earlier one, which is skipped, unless the connection has
+	// FinalHeader is the name of a header field that only the last response on a connection has, or empty.
+	FinalHeader string
+	// RequiresFinalHeader makes a response without it count as a late copy of an earlier one, which is skipped, unless the connection has
 	// carried no other request.
-	NeedsMark bool
+	RequiresFinalHeader bool
 	// MaxResponseBody bounds the response's body in bytes if it is above 0.
 	MaxResponseBody int64
 	// Arrived is the time at which the caller's request was read, or zero.
