The ownership model checks tokens too

Cause: it checked that no two servers hold a key at the same time, not that a key is taken under a higher token than before (review). Change: a taking under a token that is not above those of servers with other IDs fails.

--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -116,6 +116,8 @@
 	// connections are those of the coordinators to the servers, the last one to each.
 	connections    map[connectionKey]connection
 	lastConnection int64
+	// taken has the last taking of each of sampleKeys.
+	taken map[int]taking
 	// starts counts the servers started. It stands in for their start times.
 	starts int64
 	// hosts are the entry hosts, and isSilent is set for two of them while they don't reach each other.
@@ -129,7 +131,7 @@
 }
 
 func newModel(t *rapid.T, f faults) *model {
-	m := &model{t: t, faults: f, now: time.Unix(1_000_000, 0), load: keyload.New(), isSilent: map[[2]int]bool{}, connections: map[connectionKey]connection{}}
+	m := &model{t: t, faults: f, now: time.Unix(1_000_000, 0), load: keyload.New(), isSilent: map[[2]int]bool{}, connections: map[connectionKey]connection{}, taken: map[int]taking{}}
 	if f.cutsHosts {
 		m.hosts = make([]host, rapid.IntRange(3, 8).Draw(t, "hosts"))
 	}
@@ -143,7 +145,7 @@
 func (m *model) start(id, service, address string) *server {
 	m.starts++
 	s := &server{instance: instance.Instance{ID: id, StartMillis: m.starts, Service: service, Address: address, Slots: 2},
-		isListed: true, isAlive: true, listedAt: m.now, highestFence: map[int]int64{}, held: map[int]hold{}}
+		isListed: true, isAlive: true, listedAt: m.now, highestFence: map[int]int64{}, held: map[int]hold{}, taken: map[int]int64{}}
 	if m.faults.misleadsDiscovery {
 		s.instance.StartMillis = m.drawStart(id)
 		if rapid.Bool().Draw(m.t, "entry late") {
@@ -463,8 +465,10 @@
 	apply()
 }
 
-// check fails if two servers hold the same key of sampleKeys.
+// check fails if two servers hold the same key of sampleKeys, or one takes it under a token that is not above those under which
+// servers with other IDs have taken it.
 func (m *model) check() {
+	m.checkTokens()
 	for _, key := range sampleKeys {
 		holder := ""
 		for _, s := range m.servers {
@@ -478,6 +482,25 @@
 	}
 }
 
+func (m *model) checkTokens() {
+	for _, s := range m.servers {
+		for _, key := range sampleKeys {
+			h, ok := s.held[key]
+			if !ok || !s.isAlive {
+				delete(s.taken, key)
+				continue
+			}
+			if s.taken[key] == h.fence {
+				continue
+			}
+			if last := m.taken[key]; last.id != s.instance.ID && last.fence >= h.fence {
+				m.t.Fatalf("%s takes key %d under token %d, %s had it under %d", s.instance.Incarnation(), key, h.fence, last.id, last.fence)
+			}
+			s.taken[key], m.taken[key] = h.fence, taking{id: s.instance.ID, fence: h.fence}
+		}
+	}
+}
+
 // KeyLoad implements ownership.Queues.
 func (m *model) KeyLoad() keyload.Load { return m.load }
 
--- a/core/ownership/server_test.go
+++ b/core/ownership/server_test.go
@@ -29,6 +29,14 @@
 	// highestFence is the highest token seen for each key.
 	highestFence map[int]int64
 	held         map[int]hold
+	// taken has the tokens under which the server has taken the keys that it holds.
+	taken map[int]int64
+}
+
+// taking is a server's taking of a key: its ID and the token.
+type taking struct {
+	id    string
+	fence int64
 }
 
 type hold struct {
