--- a/core/ownership/connection_test.go
+++ b/core/ownership/connection_test.go
@@ -5,12 +5,6 @@
 	"redwingsill/core/proof"
 )
 
-// connectionKey names a coordinator and an incarnation that it has a connection to.
-type connectionKey struct {
-	from *coordinator
-	to   string
-}
-
 // connection is a connection of a coordinator to a server.
 type connection struct {
 	id int64
--- a/core/ownership/server_test.go
+++ b/core/ownership/server_test.go
@@ -33,12 +33,6 @@
 	taken map[int]int64
 }
 
-// taking is a server's taking of a key: its ID and the token.
-type taking struct {
-	id    string
-	fence int64
-}
-
 type hold struct {
 	fence int64
 	until time.Time
