A refusal behind other calls on its connection proves nothing

Cause: found on reading. A copy of an earlier success takes the place of the answer to one grant, and the refusal of that one comes where the answer to the next is due. It counted as a proof that the next had no effect, and that the one before was carried out.

--- a/core/ownership/serverstate.go
+++ b/core/ownership/serverstate.go
@@ -64,20 +64,16 @@
 	return last.proof.Connection
 }
 
-// withAnswer records what the answer to a grant tells about the grants before it. It takes the expiry of the grant from pending, so
-// it comes before withCompletion.
+// withAnswer records a grant that was answered with success. It takes the expiry of the grant from pending, so it comes before
+// withCompletion.
 func (s serverState) withAnswer(g pendingGrant, c command.Completion, now time.Time) serverState {
-	switch c.Result {
-	case command.Done:
-		if c.Proof.IsPresumed {
-			return s.withPresumed(presumedGrant{keyRange: g.keyRange, fence: g.fence, until: s.pending[c.ID], proof: c.Proof}, now)
-		}
-		return s.withSettled(c.Proof).withoutRefused(g.keyRange, g.fence)
-	case command.Stale, command.Invalid, command.Replaced:
-		return s.withSettled(c.Proof)
-	case command.Lost, command.Unsent:
+	switch {
+	case c.Result != command.Done:
+		return s
+	case c.Proof.IsPresumed:
+		return s.withPresumed(presumedGrant{keyRange: g.keyRange, fence: g.fence, until: s.pending[c.ID], proof: c.Proof}, now)
 	}
-	return s
+	return s.withoutRefused(g.keyRange, g.fence)
 }
 
 // withPresumed adds a presumed grant, which takes the place of earlier ones of its range and token on its connection. Expired ones
