--- a/core/command/answer.go
+++ b/core/command/answer.go
@@ -1,5 +1,7 @@
 package command
 
+import "redwingsill/core/proof"
+
 // Answer is a backend server's answer to a [Grant] or a [Release].
 type Answer struct {
 	Result Result
@@ -7,6 +9,8 @@
 	Status int
 	// Server is the ID that the answering server gave itself, or empty.
 	Server string
+	// Proof tells whether the answer is certain to belong to the call.
+	Proof proof.Proof
 	// Handover is the state that the server hands over to the next owner of released keys, or empty.
 	Handover string
 }
--- a/core/command/grant.go
+++ b/core/command/grant.go
@@ -20,6 +20,8 @@
 	// IsFencing is set if the grant raises the fencing token at the old owner of a range that is about to be released. The
 	// move relies on its result.
 	IsFencing bool
+	// Connection is the connection that the call should go over, or 0 for any. A fencing grant goes over a new one.
+	Connection int64
 	// Handover is the state that the previous owner passed on, or empty.
 	Handover string
 }
--- a/core/command/release.go
+++ b/core/command/release.go
@@ -13,6 +13,10 @@
 	Range keyrange.Range
 	// Fence is the fencing token under which the backend server holds the range.
 	Fence int64
+	// Connection is the connection that the call should go over, or 0 for any.
+	Connection int64
+	// NeedsNewConnection makes the call go over a new connection, so that its answer is certain.
+	NeedsNewConnection bool
 }
 
 func (Release) isCommand() {}
--- a/core/ownership/call_test.go
+++ b/core/ownership/call_test.go
@@ -5,6 +5,7 @@
 
 	"redwingsill/core/command"
 	"redwingsill/core/instance"
+	"redwingsill/core/proof"
 )
 
 // call is a command in flight to a server.
@@ -22,6 +23,9 @@
 	answer func(command.Result)
 	// lost is set if the coordinator gets the result Lost, whatever the server's was.
 	lost bool
+	// proof is what an answer to the call proves, and isCopied is set if a copy of the answer before it comes in place of a lost one.
+	proof    proof.Proof
+	isCopied bool
 	// delay is the time from the arrival of the call until it takes effect.
 	delay time.Duration
 }
--- a/core/ownership/earliercoordinator_test.go
+++ b/core/ownership/earliercoordinator_test.go
@@ -32,7 +32,7 @@
 				}
 				next = next.WithGrantResults([]command.Completion{{ID: c.ID, Result: command.Done}}, now)
 			case command.Release:
-				next = next.WithReleaseResult(c.ID, command.Done, "", now)
+				next = next.WithReleaseResult(c.ID, command.Answer{Result: command.Done}, now)
 			case command.Save:
 				next = next.WithSaveResult(c, command.Done, now)
 			}
--- a/core/ownership/events_test.go
+++ b/core/ownership/events_test.go
@@ -47,9 +47,9 @@
 				r.grantedUntil = r.now.Add(modelTiming.CallTimeout + c.HoldTime*102/100)
 			case command.Release:
 				if c.From.ID == r.replaced {
-					next = next.WithReleaseResult(c.ID, command.Replaced, "", r.now)
+					next = next.WithReleaseResult(c.ID, command.Answer{Result: command.Replaced}, r.now)
 				} else if !isSilent {
-					next = next.WithReleaseResult(c.ID, command.Done, "", r.now)
+					next = next.WithReleaseResult(c.ID, command.Answer{Result: command.Done}, r.now)
 				}
 			}
 		}
--- a/core/ownership/faults_test.go
+++ b/core/ownership/faults_test.go
@@ -27,6 +27,9 @@
 	resumesTerms bool
 	// delaysSaves: a write to the store takes effect seconds later, or its answer is lost and it is repeated.
 	delaysSaves bool
+	// copiesAnswers: servers answer over connections that carry many calls, and at times the answer to one call is repeated where
+	// that of a lost one is due.
+	copiesAnswers bool
 }
 
 // reuseAfter is the time after which the address of an ended server may go to another service.
--- a/core/ownership/fleetbenchmark_test.go
+++ b/core/ownership/fleetbenchmark_test.go
@@ -59,7 +59,7 @@
 					if dead[c.From.ID] {
 						result = command.Lost
 					}
-					o = o.WithReleaseResult(c.ID, result, "", now)
+					o = o.WithReleaseResult(c.ID, command.Answer{Result: result}, now)
 				case command.Save:
 					o = o.WithSaveResult(c, command.Done, now)
 				}
--- a/core/ownership/grantresults.go
+++ b/core/ownership/grantresults.go
@@ -10,9 +10,9 @@
 )
 
 // withPendingGrant returns the state with one more grant call in flight to an incarnation of a backend server.
-func (o Ownership) withPendingGrant(id int64, r keyrange.Range, owner string, now time.Time) Ownership {
+func (o Ownership) withPendingGrant(id int64, r keyrange.Range, fence int64, owner string, now time.Time) Ownership {
 	o.pendingGrants = maps.Clone(o.pendingGrants)
-	o.pendingGrants[id] = pendingGrant{owner: owner, keyRange: r, address: o.servers[owner].instance.Address}
+	o.pendingGrants[id] = pendingGrant{owner: owner, keyRange: r, fence: fence, address: o.servers[owner].instance.Address}
 	return o.withServer(owner, o.servers[owner].withPending(o.latestExpiry(o.timing.HoldTime, now), id))
 }
 
@@ -37,7 +37,7 @@
 		}
 		delete(o.pendingGrants, c.ID)
 		o = o.withEndedEvent(g.owner, c.Result, g.address)
-		s := o.servers[g.owner].withCompletion(c.ID, c.Result, g.address)
+		s := o.servers[g.owner].withAnswer(g, c, now).withCompletion(c.ID, c.Result, g.address)
 		if c.Result == command.Lost {
 			s.lateUntil = latest(s.lateUntil, now.Add(o.timing.LongestHold()))
 		}
--- a/core/ownership/inflight_test.go
+++ b/core/ownership/inflight_test.go
@@ -38,7 +38,7 @@
 					next = next.WithGrantResults([]command.Completion{{ID: c.ID, Result: command.Done}}, now)
 				case command.Release:
 					releasedAt = now
-					next = next.WithReleaseResult(c.ID, command.Done, "", now)
+					next = next.WithReleaseResult(c.ID, command.Answer{Result: command.Done}, now)
 				case command.Save:
 					next = next.WithSaveResult(c, command.Done, now)
 				}
--- a/core/ownership/move.go
+++ b/core/ownership/move.go
@@ -27,6 +27,8 @@
 	lateGrant ownershipevent.LateGrant
 	// isFencingLost is set if the last grant that raised the token got no response, and no release since then got one.
 	isFencingLost bool
+	// isReleaseLost is set once a release got no certain answer.
+	isReleaseLost bool
 	// toFence is the fencing token of the new owner, set once the map with that owner is being written.
 	toFence int64
 }
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -28,9 +28,8 @@
 	return o.withMove(r, m)
 }
 
-// WithReleaseResult applies the result of a release call. The handover is the state that the old owner passes to the
-// new one.
-func (o Ownership) WithReleaseResult(id int64, result command.Result, handover string, now time.Time) Ownership {
+// WithReleaseResult applies the answer to a release call, whose handover is the state that the old owner passes to the new one.
+func (o Ownership) WithReleaseResult(id int64, a command.Answer, now time.Time) Ownership {
 	call, ok := o.pendingReleases[id]
 	if !ok {
 		return o
@@ -43,21 +42,28 @@
 		return o
 	}
 	m.releaseID = 0
-	o = o.withEndedEvent(m.from, result, call.address)
-	o = o.withServer(m.from, o.servers[m.from].withCompletion(id, result, call.address))
-	if result != command.Done || m.stage != releasing {
+	o = o.withEndedEvent(m.from, a.Result, call.address)
+	s := o.servers[m.from].withCompletion(id, a.Result, call.address)
+	if a.Result == command.Done {
+		s = s.withSettled(a.Proof)
+	}
+	o = o.withServer(m.from, s)
+	m.isReleaseLost = m.isReleaseLost || a.Result == command.Lost
+	if a.Result != command.Done || m.stage != releasing {
 		m.retryAt = now.Add(o.timing.RetryDelay)
 		return o.withMove(r, m)
 	}
 	m.isFencingLost = false
-	if handover != "" {
-		m.handover = handover
+	if a.Handover != "" {
+		m.handover = a.Handover
 	}
 	switch {
 	case o.isGrantInFlight(m.from, r):
 		// The grant may reach a later incarnation with the same ID and address, which has seen no tokens.
 		m.lateGrant = ownershipevent.InFlight
 		m.retryAt = now.Add(o.timing.RetryDelay)
+	case m.lateGrant == ownershipevent.NoLateGrant && s.mayTakePresumed(r, now):
+		m.lateGrant = ownershipevent.Presumed
 	case m.lateGrant == ownershipevent.NoLateGrant:
 		m.stage = freed
 		o = o.withFreedEvent(r, m, ownershipevent.Released)
--- a/core/ownership/pendinggrant.go
+++ b/core/ownership/pendinggrant.go
@@ -6,6 +6,7 @@
 type pendingGrant struct {
 	owner    string
 	keyRange keyrange.Range
+	fence    int64
 	// address is the address to which the call was sent.
 	address string
 }
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -122,7 +122,7 @@
 		return o.withMove(r, m).withFreedEvent(r, m, ownershipevent.NoOwner)
 	}
 	m := move{to: to, stage: releasing, from: held[0].Owner, fromFence: held[0].Fence}
-	m.lateGrant = o.lateGrant(m.from, now)
+	m.lateGrant = o.lateGrant(m.from, r, now)
 	return o.withMove(r, m)
 }
 
@@ -148,16 +148,16 @@
 	return o.withMove(r, m)
 }
 
-// lateGrant returns why a grant to an incarnation may still take effect after a release: one of an earlier coordinator, or one of
-// this coordinator that was lost or is in flight.
-func (o Ownership) lateGrant(incarnation string, now time.Time) ownershipevent.LateGrant {
+// lateGrant returns why a grant of keys of the range to an incarnation may still take effect after a release: one of an earlier
+// coordinator, or one of this coordinator that was lost or is in flight. That of a presumed grant shows only with the release's answer.
+func (o Ownership) lateGrant(incarnation string, r keyrange.Range, now time.Time) ownershipevent.LateGrant {
 	s := o.servers[incarnation]
 	switch {
 	case now.Before(o.inheritedUntil):
 		return ownershipevent.Inherited
 	case now.Before(s.lateUntil):
 		return ownershipevent.Unanswered
-	case len(s.pending) > 0:
+	case o.isGrantInFlight(incarnation, r):
 		return ownershipevent.InFlight
 	}
 	return ownershipevent.NoLateGrant
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -53,9 +53,13 @@
 	checkOneOwner(t, faults{delaysSaves: true})
 }
 
+func TestOneOwnerWhenACopiedAnswerHidesALostGrant(t *testing.T) {
+	checkOneOwner(t, faults{copiesAnswers: true})
+}
+
 func TestOneOwnerUnderAllFaults(t *testing.T) {
 	checkOneOwner(t, faults{reusesAddresses: true, misleadsDiscovery: true, startsOtherServices: true, revokesLeases: true,
-		freezesCoordinators: true, cutsHosts: true, resumesTerms: true, delaysSaves: true})
+		freezesCoordinators: true, cutsHosts: true, resumesTerms: true, delaysSaves: true, copiesAnswers: true})
 }
 
 func checkOneOwner(t *testing.T, f faults) {
@@ -98,6 +102,9 @@
 	// calls are the calls in flight, and saves the writes to the store.
 	calls []call
 	saves []save
+	// connections are those of the coordinators to the servers, the last one to each.
+	connections    map[connectionKey]connection
+	lastConnection int64
 	// starts counts the servers started. It stands in for their start times.
 	starts int64
 	// hosts are the entry hosts, and isSilent is set for two of them while they don't reach each other.
@@ -106,7 +113,7 @@
 }
 
 func newModel(t *rapid.T, f faults) *model {
-	m := &model{t: t, faults: f, now: time.Unix(1_000_000, 0), load: keyload.New(), isSilent: map[[2]int]bool{}}
+	m := &model{t: t, faults: f, now: time.Unix(1_000_000, 0), load: keyload.New(), isSilent: map[[2]int]bool{}, connections: map[connectionKey]connection{}}
 	if f.cutsHosts {
 		m.hosts = make([]host, rapid.IntRange(3, 8).Draw(t, "hosts"))
 	}
@@ -328,14 +335,20 @@
 	case command.Grant:
 		next.named = cmd.To
 		next.apply = func(s *server) command.Result { return s.grant(cmd, next.arrivesAt, next.arrivesAt.Add(next.delay)) }
+		m.connect(&next, cmd.To, cmd.IsFencing)
+		next.proof.IsPresumed = next.proof.Ordinal > 1
+		next.isCopied = next.lost && next.proof.IsPresumed && rapid.Bool().Draw(m.t, "answer copied")
 		next.answer = func(r command.Result) {
-			c.state = c.state.WithGrantResults([]command.Completion{{ID: cmd.ID, Result: r}}, m.now)
+			c.state = c.state.WithGrantResults([]command.Completion{{ID: cmd.ID, Result: r, Proof: next.proof}}, m.now)
 		}
 		m.call(next)
 	case command.Release:
 		next.named, next.delay = cmd.From, 0
 		next.apply = func(s *server) command.Result { return s.release(cmd) }
-		next.answer = func(r command.Result) { c.state = c.state.WithReleaseResult(cmd.ID, r, "h", m.now) }
+		m.connect(&next, cmd.From, cmd.NeedsNewConnection)
+		next.answer = func(r command.Result) {
+			c.state = c.state.WithReleaseResult(cmd.ID, command.Answer{Result: r, Proof: next.proof, Handover: "h"}, m.now)
+		}
 		m.call(next)
 	case command.Save:
 		next := save{from: c, command: cmd, term: c.term, revision: c.revision, dueAt: m.now}
@@ -384,6 +397,10 @@
 			}
 		}
 		if c.arrivesAt.Add(c.delay).After(m.now) {
+			if c.isCopied && c.answer != nil && !c.arrivesAt.After(m.now) {
+				m.answer(c, command.Done)
+				c.answer = nil
+			}
 			if c.lost && c.answer != nil && c.arrivesAt.Add(modelTiming.CallTimeout).Before(m.now) {
 				m.answer(c, command.Lost)
 				c.answer = nil
@@ -396,6 +413,9 @@
 		if c.lost {
 			result = command.Lost
 		}
+		if c.isCopied {
+			result = command.Done
+		}
 		if c.answer != nil {
 			m.answer(c, result)
 		}
--- a/core/ownership/renew.go
+++ b/core/ownership/renew.go
@@ -34,7 +34,8 @@
 				next[part] = &renewed
 				sent[g.owner] = append(sent[g.owner], renewed.id)
 				sentRanges = append(sentRanges, part)
-				commands = append(commands, command.Grant{ID: renewed.id, To: to, Range: part, Fence: g.fence, HoldTime: holdTime, Handover: g.handover})
+				commands = append(commands, command.Grant{ID: renewed.id, To: to, Range: part, Fence: g.fence, HoldTime: holdTime, Handover: g.handover,
+					Connection: o.servers[g.owner].connectionOf(part)})
 			}
 		}
 	}
@@ -48,7 +49,7 @@
 	}
 	for _, r := range sentRanges {
 		g := next[r]
-		o.pendingGrants[g.id] = pendingGrant{owner: g.owner, keyRange: r, address: o.servers[g.owner].instance.Address}
+		o.pendingGrants[g.id] = pendingGrant{owner: g.owner, keyRange: r, fence: g.fence, address: o.servers[g.owner].instance.Address}
 	}
 	return o, commands
 }
--- a/core/ownership/replaced_test.go
+++ b/core/ownership/replaced_test.go
@@ -56,7 +56,7 @@
 				}
 				next = next.WithGrantResults([]command.Completion{{ID: c.ID, Result: result}}, r.now)
 			case command.Release:
-				next = next.WithReleaseResult(c.ID, r.result(c.From), "", r.now)
+				next = next.WithReleaseResult(c.ID, command.Answer{Result: r.result(c.From)}, r.now)
 			case command.Save:
 				next = next.WithSaveResult(c, command.Done, r.now)
 			}
--- a/core/ownership/silentowner_test.go
+++ b/core/ownership/silentowner_test.go
@@ -67,7 +67,9 @@
 			result, delay = command.Lost, 500*time.Millisecond
 		}
 		at := r.now.Add(delay)
-		apply = func(o ownership.Ownership) ownership.Ownership { return o.WithReleaseResult(c.ID, result, "state", at) }
+		apply = func(o ownership.Ownership) ownership.Ownership {
+			return o.WithReleaseResult(c.ID, command.Answer{Result: result, Handover: "state"}, at)
+		}
 	case command.Save:
 		apply = func(o ownership.Ownership) ownership.Ownership { return o.WithSaveResult(c, command.Done, r.now) }
 	}
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -66,14 +66,15 @@
 	}
 	if o, id = o.withNextID(); m.stage == fencing {
 		m.grantID = id
-		o = o.withPendingGrant(id, r, m.from, now)
+		o = o.withPendingGrant(id, r, m.fromFence, m.from, now)
 		commands = append(commands, command.Grant{ID: id, To: s.instance, Range: r, Fence: m.fromFence, HoldTime: o.timing.HoldTime, IsFencing: true})
 		o.moves[r] = m
 		return o, commands
 	}
 	m.releaseID = id
 	o.pendingReleases[id] = pendingRelease{keyRange: r, address: s.instance.Address}
-	commands = append(commands, command.Release{ID: id, From: s.instance, Range: r, Fence: m.fromFence})
+	commands = append(commands, command.Release{ID: id, From: s.instance, Range: r, Fence: m.fromFence, Connection: s.connectionOf(r),
+		NeedsNewConnection: m.isReleaseLost})
 	o.moves[r] = m
 	return o, commands
 }
--- a/core/ownershipevent/lategrant.go
+++ b/core/ownershipevent/lategrant.go
@@ -13,11 +13,13 @@
 	InFlight
 	// Unanswered: one was lost.
 	Unanswered
+	// Presumed: one has an answer that may belong to an earlier call.
+	Presumed
 	// Superseded: the owner has seen a higher token, which an earlier coordinator must have sent.
 	Superseded
 )
 
-var lateGrantNames = [...]string{"NoLateGrant", "Inherited", "InFlight", "Unanswered", "Superseded"}
+var lateGrantNames = [...]string{"NoLateGrant", "Inherited", "InFlight", "Unanswered", "Presumed", "Superseded"}
 
 // String returns the name of the reason, or "Unknown".
 func (l LateGrant) String() string {
--- a/io/coordination/commands.go
+++ b/io/coordination/commands.go
@@ -104,7 +104,7 @@
 				answers[i] = c.servers.Grant(ctx, g)
 				isUnreachable = answers[i].Result == command.Lost || answers[i].Result == command.Unsent
 			}
-			completions[i] = command.Completion{ID: g.ID, Result: answers[i].Result}
+			completions[i] = command.Completion{ID: g.ID, Result: answers[i].Result, Proof: answers[i].Proof}
 		}
 		return func() {
 			for i, g := range grants {
@@ -128,7 +128,9 @@
 		return func() {
 			c.log.Info("release", "Service", name, "Server", cmd.From.ID, "Range", cmd.Range.String(), "Fence", cmd.Fence, "Result", a.Result.String(),
 				"Status", a.Status, "Answering", a.Server)
-			service.state = service.state.WithReleaseResult(cmd.ID, a.Result, a.Handover, c.now())
+			now := c.now()
+			service.applyCompletions(now) // the grants that were answered before the release are no longer in flight
+			service.state = service.state.WithReleaseResult(cmd.ID, a, now)
 		}
 	})
 }
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -170,10 +170,7 @@
 	c.loadNewServices(now)
 	c.checkStoreReachability(now)
 	for name, service := range c.services {
-		if len(service.completions) > 0 {
-			service.state = service.state.WithGrantResults(service.completions, now)
-			service.completions = nil
-		}
+		service.applyCompletions(now)
 		c.stepService(name, service, now)
 	}
 	c.publish()
--- a/io/coordination/shardedservice.go
+++ b/io/coordination/shardedservice.go
@@ -25,3 +25,11 @@
 	// capacitiesAt is when the servers' capacities were last computed.
 	capacitiesAt time.Time
 }
+
+// applyCompletions passes the results of the completed grants to the state.
+func (s *shardedService) applyCompletions(now time.Time) {
+	if len(s.completions) > 0 {
+		s.state = s.state.WithGrantResults(s.completions, now)
+		s.completions = nil
+	}
+}
--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -45,7 +45,7 @@
 		return attemptresult.AttemptResult{Incarnation: to.Incarnation(), Status: status, Duration: c.now().Sub(began), Running: -1, Waiting: -1,
 			Announcement: announced}
 	}
-	connection, err := c.conns.get(ctx, to.Address, limit, func(idle *conn) bool { return !r.takesNewConnection() && idle.accepts(r.AttemptID) })
+	connection, err := c.conns.get(ctx, to.Address, limit, r)
 	if err != nil {
 		var failed *Error
 		if ctx.Err() != nil || errors.As(err, &failed) && failed.Kind == kind.Full {
@@ -122,6 +122,7 @@
 // it has not if no byte could be written.
 func (c *Client) exchange(connection *conn, to instance.Instance, r Request, remaining time.Duration) (response *Response, isWritten bool, err error) {
 	head := c.encodeHead(to, r, remaining)
+	connection.requests++
 	sent := make(chan error, 1)
 	if len(r.Body) <= maxInlineBody {
 		n, err := connection.Write(append(head, r.Body...))
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// attemptHashSeed is the seed of the hashes of attempt IDs.
-var attemptHashSeed = maphash.MakeSeed()
+// hashSeed is the seed of the hashes of attempt IDs and marks.
+var hashSeed = maphash.MakeSeed()
 
 // conn is a connection to a backend server with a buffered reader. It carries one request at a time.
 type conn struct {
@@ -24,11 +24,16 @@
 	bounded *boundedReader
 	// head is the head of the last response to the current request, or nil.
 	head *http.Response
+	// id is unique among the connections of a client, and requests the number of requests that the connection has carried.
+	id       int64
+	requests int64
 	// address is the dialled address, by which the pool keeps and counts the connection.
 	address string
 	// failedAttempts holds the hashes of the IDs of the attempts over this connection that may be sent again. Such an
 	// attempt must not use the connection again: a late copy of its earlier response would pass for the new one.
 	failedAttempts []uint64
+	// marks holds the hashes of the marks of the responses so far.
+	marks []uint64
 	// idleUntil is the time from which an idle connection must not be reused.
 	idleUntil time.Time
 	closeOnce sync.Once
@@ -36,24 +41,42 @@
 	onClose func()
 }
 
-func newConn(raw net.Conn, address string, onClose func()) *conn {
+func newConn(raw net.Conn, id int64, address string, onClose func()) *conn {
 	bounded := &boundedReader{from: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(bounded, readBufferSize), bounded: bounded, address: address, onClose: onClose}
+	return &conn{Conn: raw, id: id, reader: bufio.NewReaderSize(bounded, readBufferSize), bounded: bounded, address: address, onClose: onClose}
 }
 
 // accepts reports whether the connection may carry the attempt with an ID.
 func (c *conn) accepts(attemptID string) bool {
-	return !slices.Contains(c.failedAttempts, maphash.String(attemptHashSeed, attemptID))
+	return !slices.Contains(c.failedAttempts, maphash.String(hashSeed, attemptID))
 }
 
 // recordFailure makes the connection refuse the attempt with an ID from now on.
 func (c *conn) recordFailure(attemptID string) {
-	c.failedAttempts = append(c.failedAttempts, maphash.String(attemptHashSeed, attemptID))
+	c.failedAttempts = append(c.failedAttempts, maphash.String(hashSeed, attemptID))
+}
+
+// takesForCopy reports whether a response with the given header to r is a late copy of an earlier response, and records its mark if
+// it is not.
+func (c *conn) takesForCopy(r Request, header http.Header) bool {
+	if r.Mark == nil {
+		return false
+	}
+	mark := r.Mark(header)
+	if mark == "" {
+		return r.NeedsMark && c.requests > 1
+	}
+	hash := maphash.String(hashSeed, mark)
+	if slices.Contains(c.marks, hash) {
+		return true
+	}
+	c.marks = append(c.marks, hash)
+	return false
 }
 
 // isReusableAfter reports whether the connection can carry another request after a request and its response.
 func (c *conn) isReusableAfter(r Request, response *Response) bool {
-	if response.closesConnection || r.takesNewConnection() || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts {
+	if response.closesConnection || r.isAlone() || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts || len(c.marks) > maxMarks {
 		return false
 	}
 	// A late copy of a response without an attempt ID passes for the response to the next request.
--- a/io/origin/fuzz_test.go
+++ b/io/origin/fuzz_test.go
@@ -42,7 +42,7 @@
 // consumed.
 func read(from *bytesConn, method string) (*Response, int, error) {
 	client, _ := New(headers.Names{AttemptID: "X-Attempt"}, time.Now)
-	connection := newConn(from, "", func() {})
+	connection := newConn(from, 1, "", func() {})
 	response, err := client.readResponse(connection, Request{Method: method, AttemptID: "one"})
 	return response, from.read - connection.reader.Buffered(), err
 }
--- a/io/origin/pool.go
+++ b/io/origin/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"redwingsill/core/kind"
@@ -22,6 +23,8 @@
 	// open counts the connections to each address, idle ones included.
 	open   map[string]int
 	closed bool
+	// lastID is the ID of the connection that was opened last.
+	lastID atomic.Int64
 }
 
 func newPool(now func() time.Time) *pool {
@@ -29,12 +32,15 @@
 		idle: map[string][]*conn{}, open: map[string]int{}}
 }
 
-// get returns an idle connection to address that mayUse accepts, or opens one. If limit connections are open, it closes
-// an idle one to make room, and fails with [kind.Full] if there is none. It fails with [kind.Unavailable] if no
-// connection can be opened.
-func (p *pool) get(ctx context.Context, address string, limit int, mayUse func(*conn) bool) (*conn, error) {
+// get returns an idle connection to address that may carry the request, the one that it asks for if possible, or opens one. If
+// limit connections are open, it closes an idle one to make room, and fails with [kind.Full] if there is none. It fails with
+// [kind.Unavailable] if no connection can be opened.
+func (p *pool) get(ctx context.Context, address string, limit int, r Request) (*conn, error) {
 	for {
-		c := p.popIdle(address, mayUse)
+		c := p.popIdle(address, func(c *conn) bool { return c.id == r.Connection && r.mayUse(c) })
+		if c == nil {
+			c = p.popIdle(address, r.mayUse)
+		}
 		if c == nil {
 			break
 		}
@@ -58,7 +64,7 @@
 		p.release(address)
 		return nil, newError("connect to "+address, kind.Unavailable, err)
 	}
-	return newConn(raw, address, func() { p.release(address) }), nil
+	return newConn(raw, p.lastID.Add(1), address, func() { p.release(address) }), nil
 }
 
 // popIdle removes and returns the most recently used idle connection that mayUse accepts, or nil.
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,9 +13,10 @@
 )
 
 // readResponse reads the response to r. It skips interim (1xx) responses and responses to earlier requests on the
-// connection, and fails for a response with a Content-Encoding.
+// connection and late copies of them, and fails for a response with a Content-Encoding.
 func (c *Client) readResponse(from *conn, r Request) (*Response, error) {
 	request := &http.Request{Method: r.Method}
+	connectionID, stopTimeout := from.id, func() bool { return true } // both change with a late copy
 	for range maxResponseReads {
 		from.bounded.startPart("head", maxResponseHead)
 		response, err := http.ReadResponse(from.reader, request)
@@ -36,6 +38,17 @@
 			}
 			continue
 		}
+		if from.takesForCopy(r, response.Header) {
+			if response.Close {
+				return nil, newError("match response to request", kind.Unknown, errors.New("the response is a late copy of an earlier one"))
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				return nil, newError("skip response body", kind.Unknown, err)
+			}
+			stopTimeout()
+			connectionID, stopTimeout = 0, time.AfterFunc(copyTimeout, from.abort).Stop
+			continue
+		}
 		if encoding := response.Header.Get("Content-Encoding"); encoding != "" {
 			return nil, newError("read response body", kind.Unknown, fmt.Errorf("the response has the Content-Encoding %q", encoding))
 		}
@@ -47,7 +60,7 @@
 		if err != nil {
 			return nil, newError("read response body", kind.Unknown, err)
 		}
-		return &Response{Status: response.StatusCode, Header: response.Header, Body: body, closesConnection: response.Close,
+		return &Response{Status: response.StatusCode, Header: response.Header, Body: body, Connection: connectionID, Ordinal: from.requests, closesConnection: !stopTimeout() || connectionID == 0 || response.Close,
 			keepAlive: parseKeepAlive(response.Header.Get("Keep-Alive"))}, nil
 	}
 	return nil, newError("match response to request", kind.Unknown, fmt.Errorf("none of %d responses is the final one to the request", maxResponseReads))
--- a/io/origin/request.go
+++ b/io/origin/request.go
@@ -19,18 +19,27 @@
 	// holds it too. The response must echo it, or have no ID if AttemptID is empty. In that case the connection is kept
 	// only after a response with status 200.
 	AttemptID string
-	// NeedsNewConnection makes the request go over a new connection, which is closed after the response. It is set if a
-	// late copy of an earlier response must not be taken for the response, and there is no attempt ID that tells them
-	// apart.
+	// NeedsNewConnection makes the request go over a new connection. It is set if a late copy of an earlier response must not be
+	// taken for the response, and there is no attempt ID that tells them apart.
 	NeedsNewConnection bool
+	// Connection is the ID of the connection that carries the request if it is idle, or 0 for any.
+	Connection int64
+	// Mark returns from the header of a response what no other response on its connection has, or an empty string. A response with
+	// the mark of an earlier one is a late copy of that one, and is skipped. If Mark is nil, there are no marks.
+	Mark func(http.Header) string
+	// NeedsMark makes a response without a mark count as a late copy too, unless the connection has carried no other request.
+	NeedsMark bool
 	// Arrived is the time at which the caller's request was read, or zero.
 	Arrived time.Time
 	// Deadline is the time by which the response must be complete.
 	Deadline time.Time
 }
 
-// takesNewConnection reports whether the request goes over a new connection, which is closed after the response. HEAD
-// requests do: the end of a late copy of a response can be found only if all requests have responses of the same form.
-func (r Request) takesNewConnection() bool {
-	return r.NeedsNewConnection || r.Method == http.MethodHead
+// mayUse reports whether the request may go over a connection that has carried others.
+func (r Request) mayUse(c *conn) bool {
+	return !r.NeedsNewConnection && !r.isAlone() && c.accepts(r.AttemptID)
 }
+
+// isAlone reports whether the request's connection carries no other. That of a HEAD request doesn't: the end of a late copy of
+// a response can be found only if all requests have responses of the same form.
+func (r Request) isAlone() bool { return r.Method == http.MethodHead }
--- a/io/origin/response.go
+++ b/io/origin/response.go
@@ -10,6 +10,10 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Connection is the ID of the connection, which is unique to the client, or 0 if a late copy of an earlier response came before
+	// this one. Ordinal is the number of requests that the connection has carried, this one included.
+	Connection int64
+	Ordinal    int64
 	// closesConnection is true if the connection must not be used for another request.
 	closesConnection bool
 	// keepAlive is the server's Keep-Alive timeout.
--- a/io/origin/unwritten_test.go
+++ b/io/origin/unwritten_test.go
@@ -38,7 +38,7 @@
 		client, closeClient := New(headers.Names{AttemptID: "X-Attempt"}, time.Now)
 		defer closeClient()
 		to := instance.Instance{ID: "i-1", Address: "127.0.0.1:1"}
-		client.conns.put(newConn(&resetConn{accepts: accepts}, to.Address, func() {}), time.Minute)
+		client.conns.put(newConn(&resetConn{accepts: accepts}, 1, to.Address, func() {}), time.Minute)
 		_, result, err := client.Send(context.Background(), to, Request{Method: http.MethodPost, Target: "/", Host: "a.example", AttemptID: "one",
 			Deadline: time.Now().Add(time.Second)}, 4)
 		if err == nil || result.Status != want {
