--- a/core/ownership/fleetbenchmark_test.go
+++ b/core/ownership/fleetbenchmark_test.go
@@ -77,7 +77,7 @@
 	}
 }
 
-var benchmarkTiming = ownership.Timing{HoldTime: 4 * time.Second, UnreachableHoldTime: 10 * time.Second, UnreachableTTL: time.Second,
+var benchmarkTiming = ownership.Timing{LeaseDuration: lease, HoldTime: 4 * time.Second, UnreachableHoldTime: 10 * time.Second, UnreachableTTL: time.Second,
 	OutageDetectionTime: 2200 * time.Millisecond, ClockSlack: 0.025, CallTimeout: time.Second, RenewInterval: 1100 * time.Millisecond,
 	RetryDelay: 250 * time.Millisecond, UnreachableRenewGrace: 9 * time.Second, BalanceInterval: 400 * time.Millisecond,
 	WaitingInterval: 50 * time.Millisecond, MoveCooldown: 800 * time.Millisecond, MaxMoves: 8}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -76,7 +76,7 @@
 		members: map[string]instance.Instance{}, servers: map[string]serverState{}, renewals: map[keyrange.Range]*renewal{},
 		moves: map[keyrange.Range]move{}, pendingGrants: map[int64]pendingGrant{}, pendingReleases: map[int64]pendingRelease{}}
 	if fence > 0 {
-		o.inheritedUntil = now.Add(t.UnreachableRenewGrace + t.CallTimeout + t.LongestHold())
+		o.inheritedUntil = now.Add(t.LeaseDuration + t.UnreachableRenewGrace + t.CallTimeout + t.LongestHold())
 	}
 	return o
 }
@@ -95,10 +95,11 @@
 }
 
 // WithStoreReachableSince records that since the given time no coordinator can have found the store unreachable. The
-// inherited grants are then known to expire sooner: an earlier coordinator sent its last grants before its store lease
-// ended, or before UnreachableTTL had passed since the given time.
+// inherited grants are then known to expire sooner: the last grants of an earlier coordinator arrived before the end of
+// its store lease, or were sent before UnreachableTTL had passed since the given time. The store may have ended that lease
+// early, so that its holder counts on it for up to LeaseDuration.
 func (o Ownership) WithStoreReachableSince(since time.Time) Ownership {
-	shortGrantsEnd := o.startedAt.Add(o.timing.OutageDetectionTime + o.timing.CallTimeout + o.timing.onSlowClock(o.timing.HoldTime))
+	shortGrantsEnd := o.startedAt.Add(o.timing.LeaseDuration + o.timing.onSlowClock(o.timing.HoldTime))
 	longGrantsEnd := since.Add(o.timing.UnreachableTTL + o.timing.CallTimeout + o.timing.LongestHold())
 	if until := latest(shortGrantsEnd, longGrantsEnd); until.Before(o.inheritedUntil) {
 		o.inheritedUntil = until
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -67,7 +67,7 @@
 	})
 }
 
-var modelTiming = ownership.Timing{HoldTime: 4 * time.Second, UnreachableHoldTime: 10 * time.Second, UnreachableTTL: time.Second, OutageDetectionTime: 2200 * time.Millisecond, ClockSlack: 0.025, CallTimeout: time.Second,
+var modelTiming = ownership.Timing{LeaseDuration: lease, HoldTime: 4 * time.Second, UnreachableHoldTime: 10 * time.Second, UnreachableTTL: time.Second, OutageDetectionTime: 2200 * time.Millisecond, ClockSlack: 0.025, CallTimeout: time.Second,
 	RenewInterval: 1100 * time.Millisecond, RetryDelay: 250 * time.Millisecond, UnreachableRenewGrace: 12 * time.Second, SettleTime: 500 * time.Millisecond,
 	BalanceInterval: 400 * time.Millisecond, WaitingInterval: 50 * time.Millisecond, MoveCooldown: 200 * time.Millisecond, MaxMoves: 8}
 
--- a/core/ownership/succession_test.go
+++ b/core/ownership/succession_test.go
@@ -120,6 +120,14 @@
 	}
 }
 
+func TestSilentOwnersKeysMoveAfterTheLongGrantsOfARevokedCoordinatorExpire(t *testing.T) {
+	held := lastOldGrantEnd(elected.Add(lease), elected.Add(time.Hour))
+	moved := silentServerMovedAt(func(o ownership.Ownership) ownership.Ownership { return o })
+	if held.Before(elected) || moved.Before(held) {
+		t.Errorf("moved %v after the election, but the old owner may hold the keys until %v after it", moved.Sub(elected), held.Sub(elected))
+	}
+}
+
 func TestGrantsAreLongOnlyWhileTheStoreIsUnreachable(t *testing.T) {
 	if short, long := lastOldGrantEnd(elected, elected.Add(-time.Hour)), lastOldGrantEnd(elected, elected.Add(20*time.Second)); short.Sub(elected) > 7500*time.Millisecond ||
 		long.Sub(elected) < 20*time.Second {
--- a/core/ownership/timing.go
+++ b/core/ownership/timing.go
@@ -4,6 +4,8 @@
 
 // Timing holds the coordinator's intervals, timeouts and limits.
 type Timing struct {
+	// LeaseDuration is the longest time for which a coordinator counts on its store lease after the last renewal.
+	LeaseDuration time.Duration
 	// HoldTime is how long a backend server holds keys after a grant arrives.
 	HoldTime time.Duration
 	// UnreachableHoldTime replaces HoldTime while the store is known to be unreachable.
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -25,7 +25,6 @@
 	hostName      string
 	writeIDPrefix string
 	timing        ownership.Timing
-	leaseDuration time.Duration
 	store         Store
 	servers       Servers
 	registry      *registry.Registry
@@ -71,10 +70,10 @@
 
 // New returns the coordination of a host. The incarnation must differ at each start. A value in changes starts the next
 // step early.
-func New(name, incarnation string, timing ownership.Timing, leaseDuration time.Duration, s Store, servers Servers, r *registry.Registry,
+func New(name, incarnation string, timing ownership.Timing, s Store, servers Servers, r *registry.Registry,
 	hosts *rcu.Value[directory.Directory], members *rcu.Value[roster.Roster], routes *rcu.Value[routing.Routing], slotServer *slotserver.SlotServer,
 	peers Peers, metrics Metrics, now func() time.Time, log *slog.Logger, changes chan struct{}) *Coordination {
-	return &Coordination{hostName: name, writeIDPrefix: name + "/" + incarnation, timing: timing, leaseDuration: leaseDuration, store: s, servers: servers,
+	return &Coordination{hostName: name, writeIDPrefix: name + "/" + incarnation, timing: timing, store: s, servers: servers,
 		registry: r, directory: hosts, roster: members, routing: routes, slotServer: slotServer, peers: peers, metrics: metrics, now: now, log: log,
 		results: make(chan func(), resultBuffer), changes: changes, services: map[string]*shardedService{},
 		published: map[string]publishedKeys{}}
--- a/io/coordination/tenure.go
+++ b/io/coordination/tenure.go
@@ -39,7 +39,7 @@
 			c.resign(now)
 		}
 	case c.tenure.isCoordinator:
-		if !c.tenure.isRenewing && now.Sub(c.tenure.renewedAt) >= c.leaseDuration/renewalsPerLease {
+		if !c.tenure.isRenewing && now.Sub(c.tenure.renewedAt) >= c.timing.LeaseDuration/renewalsPerLease {
 			c.renewLease(now)
 		}
 	case c.tenure.isCampaigning || !c.registry.HasSynced() || c.directory.Read().Len() == 0:
@@ -56,7 +56,7 @@
 		if c.unreadableRevision != currentRevision {
 			c.unreadableRevision, c.vacantSince = currentRevision, now
 		}
-		if now.Sub(c.vacantSince) >= c.leaseDuration+c.campaignDelay() {
+		if now.Sub(c.vacantSince) >= c.timing.LeaseDuration+c.campaignDelay() {
 			c.campaign(now, currentRevision)
 		}
 	case currentRevision != 0 && currentRevision != c.tenure.revision:
@@ -136,7 +136,7 @@
 	writeID := c.nextWriteID()
 	c.startCall(func(ctx context.Context) func() {
 		startedAt := c.now()
-		leaseID, duration, err := c.store.CreateLease(ctx, c.leaseDuration)
+		leaseID, duration, err := c.store.CreateLease(ctx, c.timing.LeaseDuration)
 		if err != nil {
 			return func() { c.campaignFailed("lease", err) }
 		}
@@ -169,10 +169,11 @@
 }
 
 // startTenure makes this host the coordinator, and resumes the ownership of services that it still has loaded. The
-// lease has the duration that the store granted, counted from startedAt, before the call that created it.
+// lease has the duration that the store granted, counted from startedAt, before the call that created it. No more than
+// LeaseDuration counts, since the next coordinator reckons with that.
 func (c *Coordination) startTenure(leaseID, revision int64, startedAt time.Time, duration time.Duration) {
 	previous := c.tenure.revision
-	c.tenure = tenure{isCoordinator: true, leaseID: leaseID, revision: revision, leaseEnd: startedAt.Add(duration), renewedAt: startedAt}
+	c.tenure = tenure{isCoordinator: true, leaseID: leaseID, revision: revision, leaseEnd: startedAt.Add(min(duration, c.timing.LeaseDuration)), renewedAt: startedAt}
 	c.log.Info("elected", "Revision", revision, "Previous", previous)
 	for name, service := range c.services {
 		if !service.isLoaded {
@@ -183,7 +184,7 @@
 	}
 }
 
-// renewLease extends the lease by leaseDuration, which the store is assumed to have granted. The new end counts from
+// renewLease extends the lease by LeaseDuration, which the store is assumed to have granted. The new end counts from
 // before the call, so that it is never later than in the store.
 func (c *Coordination) renewLease(now time.Time) {
 	c.tenure.isRenewing, c.tenure.renewedAt = true, now
@@ -197,7 +198,7 @@
 			c.tenure.isRenewing = false
 			switch {
 			case err == nil:
-				c.tenure.leaseEnd = now.Add(c.leaseDuration)
+				c.tenure.leaseEnd = now.Add(c.timing.LeaseDuration)
 				for _, service := range c.services {
 					service.state = service.state.WithLease(c.tenure.leaseEnd)
 				}
--- a/io/coordination/unreachable.go
+++ b/io/coordination/unreachable.go
@@ -11,7 +11,7 @@
 // grants of an earlier coordinator may still be in force, to learn since when the store has been reachable without
 // interruption.
 func (c *Coordination) checkStoreReachability(now time.Time) {
-	isLeaseExpiring := c.tenure.isCoordinator && c.tenure.leaseEnd.Sub(now) < c.leaseDuration/2
+	isLeaseExpiring := c.tenure.isCoordinator && c.tenure.leaseEnd.Sub(now) < c.timing.LeaseDuration/2
 	isInheriting := false
 	for _, service := range c.services {
 		isInheriting = isInheriting || service.isLoaded && !service.isStoreReachableSinceKnown && service.state.HasInheritedGrants(now)
