io/origin takes only valid responses, and whole ones

Cause: net/http's parser passes a status of 000, names with blanks (one hides Content-Length), folded lines, a length beside chunks, and unchecked trailers. And a response that ends with its connection looked whole after a reset during a long write, since the write had consumed the socket's error and the read saw an end of file.

Change: core/responsesyntax follows the raw bytes of a connection through heads, bodies, chunks and trailers with constant memory; the reader of a connection stops at the first byte that is not part of a valid response, before the parser sees it. A connection on which that happened is not reused. A response that ends with its connection counts only if the write of the request ended without an error: a pending write is interrupted and then asked for its result, which is nil only if the kernel had taken all bytes, in which case the write can't have consumed an error.

--- a/io/origin/boundedreader.go
+++ b/io/origin/boundedreader.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"io"
 
+	"redwingsill/core/responsesyntax"
 	"redwingsill/io/headlines"
 )
 
-// boundedReader reads at most a number of bytes of a part of a response, such as its head, and then fails.
+// boundedReader reads at most a number of bytes of a part of a response, such as its head, and then fails. It also fails at the
+// first byte that is not part of a valid response, before the parser gets it.
 type boundedReader struct {
 	from      io.Reader
 	part      string
@@ -16,6 +18,9 @@
 	isInHead  bool
 	// lines counts the lines of the head.
 	lines headlines.Counter
+	// syntax follows the responses, and isHead is set while the request is a HEAD request.
+	syntax responsesyntax.Checker
+	isHead bool
 	// failure is the error of all further reads, or nil.
 	failure error
 }
@@ -45,9 +50,16 @@
 	}
 	n, err := r.from.Read(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
-	if r.failure = r.countLines(p[:n]); r.failure != nil {
+	valid, invalid := r.syntax.Add(p[:n], r.isHead)
+	if r.failure = r.countLines(p[:valid]); r.failure != nil {
 		return 0, r.failure // the parser could take the bytes for the rest of a head
 	}
+	// The valid bytes before an invalid one may be the rest of a response. They never complete the head that has it.
+	if r.failure = invalid; invalid != nil && valid == 0 {
+		return 0, invalid
+	} else if invalid != nil {
+		return valid, nil
+	}
 	return n, err
 }
 
--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -124,6 +124,9 @@
 	return attemptresult.Answered
 }
 
+// errEndBeforeRequest is why a response without a length is not taken for whole.
+var errEndBeforeRequest = errors.New("the connection ended before the request was written, so that the response may be cut")
+
 // exchange writes a request with the remaining time to its deadline, and reads its response. A long body is written concurrently,
 // since the server may respond before it has read the whole body. It also reports whether the server may have got the request:
 // it has not if no byte could be written.
@@ -147,14 +150,12 @@
 		}()
 	}
 	response, err = c.readResponse(connection, r)
+	var writeErr error
 	select {
-	case writeErr := <-sent:
-		if writeErr != nil && err == nil {
-			response.closesConnection = true // the server responded without reading the whole request
-		}
+	case writeErr = <-sent:
 	default:
 		connection.reset() // interrupts the write; the connection can't be reused after a partial request
-		writeErr := <-sent
+		writeErr = <-sent
 		if response != nil {
 			response.closesConnection = true
 		}
@@ -162,6 +163,15 @@
 			err = errors.Join(err, writeErr)
 		}
 	}
+	switch {
+	case writeErr == nil || response == nil:
+	case response.endsWithConnection:
+		// The write may have got the error that tells a reset from an end, and the server need not have read the whole request.
+		response.Release()
+		return nil, true, newError("read response body", kind.Unknown, errors.Join(errEndBeforeRequest, writeErr))
+	default:
+		response.closesConnection = true // the server responded without reading the whole request
+	}
 	return response, true, err
 }
 
--- a/io/origin/conn.go
+++ b/io/origin/conn.go
@@ -62,13 +62,16 @@
 // isReusableAfter reports whether the connection can carry another request after a request and its response.
 func (c *conn) isReusableAfter(r Request, response *Response) bool {
 	isLast := r.FinalHeader != "" && response.Header.Get(r.FinalHeader) != ""
-	if response.closesConnection || isLast || r.isAlone() || c.reader.Buffered() > 0 || len(c.failedAttempts) > maxFailedAttempts {
+	if response.closesConnection || isLast || r.isAlone() || c.hasSurplus() || len(c.failedAttempts) > maxFailedAttempts {
 		return false
 	}
 	// A late copy of a response without an attempt ID passes for the response to the next request.
 	return r.AttemptID != "" || response.Status == http.StatusOK
 }
 
+// hasSurplus reports whether bytes behind the last response were read, or bytes that belong to no response.
+func (c *conn) hasSurplus() bool { return c.reader.Buffered() > 0 || c.bounded.failure != nil }
+
 // abort makes pending and later reads and writes fail, by a deadline in the past.
 func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) } // fails only if the connection is already closed
 
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -16,6 +16,7 @@
 // connection and late copies of them, and fails for a response with a Content-Encoding.
 func (c *Client) readResponse(from *conn, r Request) (*Response, error) {
 	request := &http.Request{Method: r.Method}
+	from.bounded.isHead = r.Method == http.MethodHead
 	connectionID, stopTimeout := from.id, func() bool { return true } // both change with a late copy
 	for range maxResponseReads {
 		buffered, _ := from.reader.Peek(from.reader.Buffered()) // they are there
@@ -77,8 +78,9 @@
 			return nil, newError("read response body", kind.Unknown, err)
 		}
 		return &Response{Status: response.StatusCode, Header: response.Header, Body: body, Connection: connectionID, Ordinal: from.requests,
-			closesConnection: !stopTimeout() || connectionID == 0 || response.Close,
-			keepAlive:        parseKeepAlive(response.Header.Get("Keep-Alive")), release: release}, nil
+			closesConnection:   !stopTimeout() || connectionID == 0 || response.Close,
+			endsWithConnection: from.bounded.syntax.EndsWithConnection(),
+			keepAlive:          parseKeepAlive(response.Header.Get("Keep-Alive")), release: release}, nil
 	}
 	return nil, newError("match response to request", kind.Unknown, fmt.Errorf("none of %d responses is the final one to the request", maxResponseReads))
 }
--- a/io/origin/response.go
+++ b/io/origin/response.go
@@ -16,6 +16,8 @@
 	Ordinal    int64
 	// closesConnection is true if the connection must not be used for another request.
 	closesConnection bool
+	// endsWithConnection is true if nothing but the end of the connection shows the end of the body.
+	endsWithConnection bool
 	// keepAlive is the server's Keep-Alive timeout.
 	keepAlive time.Duration
 	// release ends the response's part of the budget for responses, or is nil.
