All other readers reject what is no response

Cause: net/http clients passed the same faults as io/origin did. A lease was renewed and a write confirmed by texts that are no responses; updates were taken from a cut body, since the decoder stops at the end of the document; a refusal counted as a promise though its body broke off. A status of 101 or 000 made io/backendserver loop at full speed for ever: io/bodybudget reads a body of an announced length into a buffer that doesn't grow, and read on into the full buffer.

--- a/io/backendserver/client.go
+++ b/io/backendserver/client.go
@@ -19,6 +19,7 @@
 	"redwingsill/core/outcome"
 	"redwingsill/io/attribute"
 	"redwingsill/io/bodybudget"
+	"redwingsill/io/responseconn"
 )
 
 const (
@@ -54,7 +55,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: dialed, now: now}, nil
+			return &conn{Conn: responseconn.New(dialed), now: now}, nil
 		},
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
@@ -80,7 +81,7 @@
 	var requestConn *conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		requestConn, _ = info.Conn.(*conn)
-		requestConn.startRequest(run.Deadline)
+		requestConn.startRequest(run)
 	}})
 	request, err := c.newRequest(ctx, run)
 	if err != nil {
@@ -97,7 +98,9 @@
 		return outcome.Unknown{Reason: "the answer belongs to another attempt"}, false
 	}
 	if reason := response.Header.Get(HeaderRefused); reason != "" {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes)); err != nil {
+			return outcome.Unknown{Reason: "the refusal ended early: " + err.Error()}, false
+		}
 		return refusalOutcome(reason), reason == "Shed" || reason == "Connections"
 	}
 	content, err := c.bodies.Read(response.Body, response.ContentLength, maxResponseBytes)
--- a/io/backendserver/conn.go
+++ b/io/backendserver/conn.go
@@ -1,16 +1,19 @@
 package backendserver
 
 import (
-	"net"
 	"os"
 	"sync/atomic"
 	"time"
+
+	"redwingsill/core/effect"
+	"redwingsill/io/attribute"
+	"redwingsill/io/responseconn"
 )
 
 // conn records whether a write of the current request was attempted, and refuses to write after the request's deadline.
 // A connection carries one request at a time.
 type conn struct {
-	net.Conn
+	*responseconn.Conn
 	now func() time.Time
 	// written is set before the first write, since a write that fails may have sent bytes.
 	written  atomic.Bool
@@ -18,9 +21,10 @@
 }
 
 // startRequest resets the connection for the next request, of which nothing may be written after the deadline.
-func (c *conn) startRequest(deadline time.Time) {
+func (c *conn) startRequest(run effect.Run) {
 	c.written.Store(false)
-	c.deadline.Store(&deadline)
+	c.deadline.Store(&run.Deadline)
+	c.StartRequest(run.Request.Attributes[attribute.Method], int64(len(run.Request.Body)))
 }
 
 // hasWritten reports whether any byte of the current request may have been written.
--- a/io/bodybudget/bodybudget.go
+++ b/io/bodybudget/bodybudget.go
@@ -88,6 +88,8 @@
 		n, err := from.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
+		case length >= 0 && int64(len(body)) > length: // else the buffer would be full and never grow
+			return nil, release, newError(kind.Invalid, fmt.Errorf("the body has more than the announced %d bytes", length))
 		case int64(len(body)) > limit:
 			return nil, release, newError(kind.Invalid, fmt.Errorf("the body has more than %d bytes", limit))
 		case err == io.EOF:
--- a/io/monitor/client.go
+++ b/io/monitor/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"redwingsill/core/kind"
+	"redwingsill/io/responseconn"
 )
 
 // Limits of one call.
@@ -27,7 +28,7 @@
 // New returns a client of the monitoring system at a base URL and a function that closes its idle connections.
 func New(base string) (*Client, func()) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
-	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: callTimeout}}, transport.CloseIdleConnections
+	return &Client{base: base, http: &http.Client{Transport: responseconn.Transport(transport), Timeout: callTimeout}}, transport.CloseIdleConnections
 }
 
 // DownServers returns the names of the backend servers that the monitoring system declares down. Each error is an
@@ -46,8 +47,12 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, newError(op, kind.Unavailable, fmt.Errorf("status %d", response.StatusCode))
 	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return nil, newError(op, kind.Unavailable, err)
+	}
 	var verdicts struct{ Down []string }
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&verdicts); err != nil {
+	if err := json.Unmarshal(text, &verdicts); err != nil {
 		return nil, newError(op, kind.Unavailable, err)
 	}
 	return verdicts.Down, nil
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -15,6 +15,7 @@
 
 	"redwingsill/core/hostentry"
 	"redwingsill/core/kind"
+	"redwingsill/io/responseconn"
 )
 
 // Limits of one call.
@@ -36,7 +37,7 @@
 // its calls to callsPerSecond, with bursts of twice that number.
 func New(base string, callsPerSecond float64) (*Client, func()) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
-	c := &Client{base: base, http: &http.Client{Transport: transport},
+	c := &Client{base: base, http: &http.Client{Transport: responseconn.Transport(transport)},
 		limiter: rate.NewLimiter(rate.Limit(callsPerSecond), max(1, int(2*callsPerSecond)))}
 	return c, transport.CloseIdleConnections
 }
--- a/io/standin/loadgenerator/generator.go
+++ b/io/standin/loadgenerator/generator.go
@@ -17,6 +17,7 @@
 	"github.com/google/uuid"
 
 	"redwingsill/io/caller"
+	"redwingsill/io/responseconn"
 	"redwingsill/io/task"
 )
 
@@ -60,7 +61,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, MaxConnsPerHost: 0}
 	g := &Generator{entries: entries, random: random, zipf: rand.NewZipf(random, zipfExponent, 1, keyCount-1), outcomes: map[string]string{},
 		reasons: map[string]int{},
-		http:    &http.Client{Transport: transport}}
+		http:    &http.Client{Transport: responseconn.Transport(transport)}}
 	for _, text := range streams {
 		s, err := parseStream(text)
 		if err != nil {
--- a/io/updates/client.go
+++ b/io/updates/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"redwingsill/core/kind"
 	"redwingsill/core/record"
 	"redwingsill/core/update"
+	"redwingsill/io/responseconn"
 	"redwingsill/io/tcp"
 )
 
@@ -31,7 +33,7 @@
 func New() (*Client, func()) {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: tcp.UserTimeout(responseMargin)}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections}
-	return &Client{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+	return &Client{http: &http.Client{Transport: responseconn.Transport(transport)}}, transport.CloseIdleConnections
 }
 
 // Entries requests all entries under a prefix from a host.
@@ -65,9 +67,14 @@
 		return update.Update{}, newError("request store updates", kind.Unavailable, errors.New(response.Status))
 	}
 	var d document
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&d); err != nil {
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes))
+	if err := decoder.Decode(&d); err != nil {
 		return update.Update{}, newError("request store updates", kind.Unknown, err)
 	}
+	// The end of the body shows that it is whole, and its trailers are valid.
+	if _, err := decoder.Token(); err != io.EOF {
+		return update.Update{}, newError("request store updates", kind.Unknown, fmt.Errorf("the document does not end the response: %w", err))
+	}
 	records := make([]record.Record, len(d.Records))
 	for i, e := range d.Records {
 		records[i] = e.record()
