--- a/io/commandline/client.go
+++ b/io/commandline/client.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"redwingsill/core/kind"
+	"redwingsill/io/responseconn"
 )
 
 // clientTimeout is longer than the 30 s that a watch may stay open.
@@ -38,7 +39,7 @@
 	v.requireURL("--operator", c.String("operator"))
 	format := c.String("format")
 	v.require(format == "table" || format == "json", "--format", format, "table or json")
-	return &client{baseURL: c.String("operator"), token: c.String("operator-token"), http: &http.Client{Timeout: clientTimeout}}, v.err()
+	return &client{baseURL: c.String("operator"), token: c.String("operator-token"), http: &http.Client{Transport: responseconn.Transport(&http.Transport{Proxy: http.ProxyFromEnvironment}), Timeout: clientTimeout}}, v.err()
 }
 
 // withClient returns the action of a command that calls the operator API, with a client made from the command's settings.
--- a/io/commandline/measurehop.go
+++ b/io/commandline/measurehop.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"redwingsill/core/kind"
+	"redwingsill/io/responseconn"
 	"redwingsill/io/task"
 )
 
@@ -99,7 +100,7 @@
 // measurePath calls a URL from hopWorkers goroutines for the duration. A goroutine stops at its first error. The returned error
 // is one of these errors, or nil if there was none.
 func measurePath(name, url string, duration time.Duration) (hopResult, error) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: hopWorkers}}
+	client := &http.Client{Transport: responseconn.Transport(&http.Transport{MaxIdleConnsPerHost: hopWorkers})}
 	defer client.CloseIdleConnections()
 	var mu sync.Mutex
 	var latencies []time.Duration
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -119,7 +119,7 @@
 			f.onAnnouncement(s.request.AttemptID, to, result.Announcement)
 		}
 		slot.Release(result)
-		f.metrics.CountAttempt(s.service, result.Status)
+		f.countAttempt(s.service, result.Status, err)
 		s.history = s.history.WithResult(slot.Incarnation, result.Status)
 		s.result, s.err = result.Status, err
 		if result.Status == attemptresult.Answered {
--- a/io/forward/forwarder_test.go
+++ b/io/forward/forwarder_test.go
@@ -46,6 +46,7 @@
 
 func (noMetrics) ObserveRequest(string, int, string, time.Duration) {}
 func (noMetrics) CountAttempt(string, attemptresult.Status)         {}
+func (noMetrics) CountInvalidResponse(string)                       {}
 
 // repeatingServer is a faulty backend server: it answers the first request without running it, and writes a copy of that answer before
 // its response to the next request on the same connection.
--- a/io/forward/metrics.go
+++ b/io/forward/metrics.go
@@ -13,4 +13,6 @@
 	ObserveRequest(service string, rank int, outcome string, took time.Duration)
 	// CountAttempt counts an attempt to send a request to a backend server of a service, by its result.
 	CountAttempt(service string, result attemptresult.Status)
+	// CountInvalidResponse counts what a backend server of a service sent that is no response.
+	CountInvalidResponse(service string)
 }
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -45,6 +45,7 @@
 
 func (noMetrics) ObserveRequest(string, int, string, time.Duration) {}
 func (noMetrics) CountAttempt(string, attemptresult.Status)         {}
+func (noMetrics) CountInvalidResponse(string)                       {}
 
 // entryHost is the front end of a host with one backend server. The routes of a.example are /get/, whose requests may run more than
 // once, and /post/, whose requests may not.
--- a/io/origin/fuzz_test.go
+++ b/io/origin/fuzz_test.go
@@ -11,6 +11,7 @@
 
 	"redwingsill/core/responsesyntax"
 	"redwingsill/io/headers"
+	"redwingsill/io/standin/rawserver"
 )
 
 // bytesConn is a connection on which a server has sent some bytes and then, if repeats is set, sends a part again and
@@ -113,3 +114,22 @@
 		}
 	})
 }
+
+// FuzzFaultyResponse checks that what passes for a response has a valid head.
+func FuzzFaultyResponse(f *testing.F) {
+	for _, text := range rawserver.Faults("body", "X-Attempt: one\r\n") {
+		f.Add([]byte(text), false)
+		f.Add([]byte(text), true)
+	}
+	for _, text := range faultyResponses {
+		f.Add([]byte(text), false)
+	}
+	for _, text := range validResponses {
+		f.Add([]byte(text), false)
+	}
+	f.Fuzz(func(t *testing.T, text []byte, isHead bool) {
+		if _, _, err := read(&bytesConn{sent: text}, method(isHead)); err == nil && !rawserver.HasValidHead(text) {
+			t.Errorf("%q passes for a response", text)
+		}
+	})
+}
--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -26,6 +26,7 @@
 	rangesFenced    *prometheus.CounterVec
 	leavingServers  *prometheus.CounterVec
 	pauses          *prometheus.CounterVec
+	invalid         *prometheus.CounterVec
 }
 
 // New returns metrics with their collectors registered.
@@ -47,8 +48,10 @@
 			Help: "Backend servers that this host heard leave from their answers, by service."}, []string{"service"}),
 		pauses: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_pauses_total",
 			Help: "Answers in which a backend server asked this host for a pause, by service."}, []string{"service"}),
+		invalid: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_invalid_responses_total",
+			Help: "Texts in place of a response that backend servers sent, by service."}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses)
+	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses, m.invalid)
 	return m
 }
 
@@ -67,6 +70,9 @@
 	m.attempts.WithLabelValues(service, result.String()).Inc()
 }
 
+// CountInvalidResponse counts what a backend server of a service sent that is no response.
+func (m *Metrics) CountInvalidResponse(service string) { m.invalid.WithLabelValues(service).Inc() }
+
 // CountLeavingServer counts a backend server of a service whose answer said for the first time that it leaves.
 func (m *Metrics) CountLeavingServer(service string) { m.leavingServers.WithLabelValues(service).Inc() }
 
--- a/io/responseconn/transport_test.go
+++ b/io/responseconn/transport_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"net"
 	"net/http"
@@ -119,6 +121,33 @@
 	}
 }
 
+func TestResponsesAreCheckedBehindTLS(t *testing.T) {
+	const faulty = "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 4\r\n\r\nbody"
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/faulty" {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			_, _ = io.WriteString(c, faulty)
+			_ = c.Close()
+			return
+		}
+		_, _ = io.WriteString(w, "body")
+	}))
+	t.Cleanup(server.Close)
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	client := &http.Client{Timeout: timeout, Transport: responseconn.Transport(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}})}
+	t.Cleanup(client.CloseIdleConnections)
+	if body, err := readAll(client.Get(server.URL)); err != nil || body != "body" {
+		t.Errorf("got %q with error %v", body, err)
+	}
+	if body, err := readAll(client.Get(server.URL + "/faulty")); err == nil {
+		t.Errorf("got %q from a faulty response", body)
+	}
+}
+
 // FuzzTransport checks that what passes for a response has a valid head.
 func FuzzTransport(f *testing.F) {
 	server, client := newServer(f), newClient(f)
--- a/io/standin/rawserver/faults.go
+++ b/io/standin/rawserver/faults.go
@@ -9,6 +9,7 @@
 // Faults returns texts that are no responses, by their fault. Each has the body that a sound response would have, and a lenient
 // parser may take it for one. The fields are lines of the head, each with its end.
 func Faults(body, fields string) map[string]string {
+	fields += "Connection: close\r\n" // a client that kept the connection would find it closed, and fail for that reason
 	size := strconv.Itoa(len(body))
 	length := "Content-Length: " + size + "\r\n"
 	const line, chunked = "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n"
