core/responsesyntax skips values of which nothing is kept; all cases of its switches are named

BenchmarkHead on a busy machine, three runs each: 4.4 to 5.6 µs before for a head of 300 bytes, 2.1 to 3.3 µs after, no allocations. go test -race ./core/responsesyntax passes, FuzzChecker 10 s without a finding. 10 s of fuzzing of each other reader found nothing (io/responseconn, io/origin, platform/store, io/updates, io/backendserver, platform/grants, io/platform, io/monitor).

--- a/core/responsesyntax/checker.go
+++ b/core/responsesyntax/checker.go
@@ -47,6 +47,12 @@
 				c.endData()
 			}
 			continue
+		case fieldValue: // most bytes of a head are in values of which nothing is kept
+			if n := c.skippable(p[i:]); n > 0 {
+				i += n
+				continue
+			}
+		case statusLine, fieldStart, fieldName, chunkLine, chunkEnd:
 		}
 		if reason := c.addByte(p[i], isHead); reason != "" {
 			c.failure = newError(reason)
@@ -57,6 +63,19 @@
 	return len(p), c.failure
 }
 
+// skippable returns how many of the next bytes are valid in a value of which nothing is kept.
+func (c *Checker) skippable(p []byte) int {
+	if c.line.hasReturn || c.field.keepsValue() {
+		return 0
+	}
+	for i, b := range p {
+		if isControl(b) {
+			return i
+		}
+	}
+	return len(p)
+}
+
 // EndsWithConnection reports whether the current response is one whose body ends only with the connection.
 func (c *Checker) EndsWithConnection() bool { return c.state == untilEnd }
 
@@ -86,8 +105,9 @@
 		return c.field.addValue(b)
 	case chunkLine:
 		return c.chunk.add(b)
+	case chunkEnd, chunkData, body, untilEnd: // data don't get here
 	}
-	return "a chunk is longer than its size" // chunkEnd
+	return "a chunk is longer than its size"
 }
 
 func (c *Checker) addName(b byte) string {
@@ -117,8 +137,9 @@
 		return c.endField()
 	case chunkLine:
 		return c.endChunkLine()
+	case chunkEnd, chunkData, body, untilEnd: // data don't get here
 	}
-	c.state, c.chunk = chunkLine, chunk{} // after chunkEnd
+	c.state, c.chunk = chunkLine, chunk{}
 	return ""
 }
 
@@ -139,6 +160,7 @@
 			return "the Transfer-Encoding is not chunked alone"
 		}
 		c.isChunked = true
+	case other, bodyForm:
 	}
 	return ""
 }
--- a/core/responsesyntax/field.go
+++ b/core/responsesyntax/field.go
@@ -63,7 +63,7 @@
 	}
 	isBlank := b == ' ' || b == '\t'
 	switch {
-	case f.name != contentLength && f.name != transferEncoding, f.length == 0 && isBlank:
+	case !f.keepsValue(), f.length == 0 && isBlank:
 	case f.length < len(f.text):
 		f.text[f.length] = toLower(b)
 		f.length++
@@ -73,6 +73,9 @@
 	return ""
 }
 
+// keepsValue reports whether the value tells the length of the body.
+func (f *field) keepsValue() bool { return f.name == contentLength || f.name == transferEncoding }
+
 // value returns the value in small letters, without the blanks around it.
 func (f *field) value() []byte {
 	end := f.length
@@ -102,7 +105,7 @@
 
 // isToken reports whether a byte may be in a field name.
 func isToken(b byte) bool {
-	return '0' <= b && b <= '9' || 'a' <= toLower(b) && toLower(b) <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+	return 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || b == '-' || '0' <= b && b <= '9' || strings.IndexByte("!#$%&'*+.^_`|~", b) >= 0
 }
 
 func toLower(b byte) byte {
