Evacuate data centres that the operator names in the store

The operator could not take a data centre out of service: its backend servers got requests and keys until each of them drained by itself.

They take no requests that others can run; their keys move at a rate by which the last one begins 1.5 s before the deadline, the most loaded first. From the deadline on neither requests nor grants nor releases are sent, which io/origin checks after it has a connection. Grants to an evacuated server end at the deadline. The mark is an overlay of the roster, so removing the key brings the servers back at once.

The new target of a freed range is now the member with the lowest load for its capacity, counting ranges on their way to it: it was the one with the fewest stored keys, so all ranges of one moment went to one server.

A relaying host that doesn't watch a prefix answers 400; the asking host then reads the store itself without counting a failure of that host.

Ran: go test -race on core/pool, core/evacuation, io/origin, io/forward, io/relay; go test on core/ownership and the evacuation specs of platform.

--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -24,6 +24,9 @@
 	IsLeaving bool
 	// SendDeadline is the time from which no request may be sent to a leaving server.
 	SendDeadline time.Time
+	// IsEvacuated is set, beside IsLeaving, while the server's data centre is being evacuated. From SendDeadline on such a
+	// server gets no grants and releases either. Unlike a server that drains, it may be used again.
+	IsEvacuated bool
 	// WarmUpEnd is when the server reaches its full speed.
 	WarmUpEnd time.Time
 }
@@ -43,6 +46,19 @@
 	return i
 }
 
+// WithEvacuation returns the instance marked as evacuated, and so as leaving. Nothing may be sent to it from the deadline on,
+// or from an earlier one at which it leaves anyway.
+func (i Instance) WithEvacuation(deadline time.Time) Instance {
+	i.IsEvacuated = true
+	if i.IsLeaving && i.SendDeadline.Before(deadline) {
+		return i
+	}
+	return i.WithLeaving(deadline)
+}
+
+// IsShutOff reports whether nothing at all may be sent to the server at now, since its evacuation is over its deadline.
+func (i Instance) IsShutOff(now time.Time) bool { return i.IsEvacuated && !i.AcceptsRequests(now) }
+
 // AcceptsRequests reports whether a request that has to run on this server, or was placed there, may be sent to it at
 // now. A leaving server accepts such requests until its SendDeadline.
 func (i Instance) AcceptsRequests(now time.Time) bool {
--- a/core/ownership/grantresults.go
+++ b/core/ownership/grantresults.go
@@ -13,7 +13,7 @@
 func (o Ownership) withPendingGrant(id int64, r keyrange.Range, fence int64, owner string, now time.Time) Ownership {
 	o.pendingGrants = maps.Clone(o.pendingGrants)
 	o.pendingGrants[id] = pendingGrant{owner: owner, keyRange: r, fence: fence, address: o.servers[owner].instance.Address}
-	return o.withServer(owner, o.servers[owner].withPending(o.latestExpiry(o.timing.HoldTime, now), id))
+	return o.withServer(owner, o.servers[owner].withPending(o.latestExpiry(o.holdTimeOf(owner, o.timing.HoldTime, now), now), id))
 }
 
 // isGrantInFlight reports whether a grant of any key of the range to an incarnation has no result yet.
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -37,15 +37,10 @@
 		o.rates, o.ratesAt = q.KeyLoad().Rates(now), now
 	}
 	capacities := map[string]float64{}
-	for incarnation, m := range o.members {
-		if !o.canOwn(incarnation) {
-			continue
-		}
-		capacity := float64(max(1, m.Slots))
-		if c, ok := o.capacities[incarnation]; ok {
-			capacity = c
+	for incarnation := range o.members {
+		if o.canOwn(incarnation) {
+			capacities[incarnation] = o.capacityOf(incarnation)
 		}
-		capacities[incarnation] = capacity
 	}
 	targets := make([]holding.Holding, 0, len(o.moves))
 	for r, m := range o.moves {
@@ -56,7 +51,8 @@
 	if len(keys.Holdings()) == 0 || len(keys.Gaps()) > 0 {
 		maxMoves = max(maxMoves, len(capacities))
 	}
-	for _, planned := range reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), q.MeanServiceTime()).WithRecentlyMoved(o.recentlyMoved(now)).Moves(max(0, maxMoves), isBalancing) {
+	planner := reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), q.MeanServiceTime()).WithRecentlyMoved(o.recentlyMoved(now))
+	for _, planned := range o.withoutLaterEvacuations(planner.Moves(max(0, maxMoves), isBalancing), now) {
 		if len(o.moves) >= o.maxMoves() && !o.isOrphan(planned.Range) {
 			break
 		}
@@ -133,28 +129,6 @@
 	return o.withMove(r, m)
 }
 
-// withAvailableTarget returns the state with another target for a freed range, the member with the fewest keys, if the
-// planned one is leaving, gone or replaced.
-func (o Ownership) withAvailableTarget(r keyrange.Range, m move) Ownership {
-	if m.stage != freed || o.canOwn(m.to) {
-		return o
-	}
-	fewest := ""
-	for incarnation := range o.members {
-		if !o.canOwn(incarnation) {
-			continue
-		}
-		if fewest == "" || o.keys.KeyCount(incarnation) < o.keys.KeyCount(fewest) || o.keys.KeyCount(incarnation) == o.keys.KeyCount(fewest) && incarnation < fewest {
-			fewest = incarnation
-		}
-	}
-	if fewest == "" {
-		return o
-	}
-	m.to = fewest
-	return o.withMove(r, m)
-}
-
 // lateGrant returns why a grant of keys of the range to an incarnation may still take effect after a release: one of an earlier
 // coordinator, or one of this coordinator that was lost or is in flight. That of a presumed grant shows only with the release's answer.
 func (o Ownership) lateGrant(incarnation string, r keyrange.Range, now time.Time) ownershipevent.LateGrant {
--- a/core/ownership/renew.go
+++ b/core/ownership/renew.go
@@ -28,13 +28,17 @@
 				continue
 			}
 			if to, known := o.members[g.owner]; known && !o.servers[g.owner].isReplaced() {
+				toHoldTime, maySendTo := o.grantHoldTime(to, holdTime, now)
+				if !maySendTo {
+					continue
+				}
 				renewed := *g
 				o, renewed.id = o.withNextID()
 				renewed.sentAt, renewed.isPending = now, true
 				next[part] = &renewed
 				sent[g.owner] = append(sent[g.owner], renewed.id)
 				sentRanges = append(sentRanges, part)
-				commands = append(commands, command.Grant{ID: renewed.id, To: to, Range: part, Fence: g.fence, HoldTime: holdTime, Handover: g.handover,
+				commands = append(commands, command.Grant{ID: renewed.id, To: to, Range: part, Fence: g.fence, HoldTime: toHoldTime, Handover: g.handover,
 					Connection: o.servers[g.owner].connectionOf(part)})
 			}
 		}
@@ -45,7 +49,7 @@
 	}
 	o.pendingGrants, o.servers = maps.Clone(o.pendingGrants), maps.Clone(o.servers)
 	for owner, ids := range sent {
-		o.servers[owner] = o.servers[owner].withPending(o.latestExpiry(holdTime, now), ids...)
+		o.servers[owner] = o.servers[owner].withPending(o.latestExpiry(o.holdTimeOf(owner, holdTime, now), now), ids...)
 	}
 	for _, r := range sentRanges {
 		g := next[r]
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -53,9 +53,16 @@
 	case !known, s.hasEnded(), o.mayInheritedGrantArrive(now), m.grantID != 0, m.releaseID != 0, now.Before(m.retryAt), !o.maySendGrants(now):
 		return o, commands
 	}
+	if s.instance.IsShutOff(now) {
+		return o, commands // the range is freed when the owner's grants have expired
+	}
 	var id int64
 	// Each lost grant extends the time until which a silent server may hold its keys. After one, it is asked for a release
 	// first.
+	fencingHoldTime, mayFence := o.grantHoldTime(s.instance, o.timing.HoldTime, now)
+	if !mayFence && (m.stage == fencing || m.lateGrant != ownershipevent.NoLateGrant && !m.isFencingLost) {
+		return o, commands
+	}
 	if m.stage == releasing && m.lateGrant != ownershipevent.NoLateGrant && !m.isFencingLost {
 		next, fence, ok := o.withNextFence()
 		if !ok {
@@ -67,7 +74,7 @@
 	if o, id = o.withNextID(); m.stage == fencing {
 		m.grantID = id
 		o = o.withPendingGrant(id, r, m.fromFence, m.from, now)
-		commands = append(commands, command.Grant{ID: id, To: s.instance, Range: r, Fence: m.fromFence, HoldTime: o.timing.HoldTime, IsFencing: true})
+		commands = append(commands, command.Grant{ID: id, To: s.instance, Range: r, Fence: m.fromFence, HoldTime: fencingHoldTime, IsFencing: true})
 		o.moves[r] = m
 		return o, commands
 	}
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -98,6 +98,9 @@
 func (p Pool) refusalOf(n int, r slotrequest.SlotRequest, queuedAt, now time.Time) (placement.Refuse, bool) {
 	switch {
 	case n != p.commonQueue():
+		if p.servers[n].instance.IsShutOff(now) {
+			return refusalOfShutOff(r), true
+		}
 		if s := p.servers[n]; s.isPausedFor(hostOf(r.Ticket), now) {
 			return p.refusalDuringPause(r, s.pausedUntil[hostOf(r.Ticket)], now)
 		}
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -108,7 +108,7 @@
 		to, ok := f.findInstance(slot.Incarnation)
 		if !ok || !f.mayBeSent(s, to) {
 			slot.Release(f.unsentResult(slot.Incarnation))
-			s.history.Excluded = append(s.history.Excluded, slot.Incarnation)
+			s.history.Excluded = f.withUnusable(s.history.Excluded, to, ok, slot.Incarnation)
 			if !f.backOff(ctx, s) {
 				return f.failureOutcome(ctx, s, max(failureRetryAfter, f.pauseOf(slot.Incarnation)))
 			}
--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -59,6 +59,10 @@
 		}
 		return nil, newResult(attemptresult.Unreachable), err
 	}
+	if to.IsShutOff(c.now()) { // opening the connection may have taken until then
+		connection.close()
+		return nil, newResult(attemptresult.Unsent), newShutOffError(to)
+	}
 	remaining := r.Deadline.Sub(c.now())
 	// Deadlines of connections are compared with time.Now, which may differ from c.now. This one is set before abort may
 	// set another.
--- a/io/relay/watchstore.go
+++ b/io/relay/watchstore.go
@@ -27,6 +27,9 @@
 		if ctx.Err() != nil {
 			return nil, 0, err
 		}
+		if kind.Is(err, kind.Invalid) {
+			break // the host doesn't watch this prefix, so it is no failure that concerns the others
+		}
 		r.recordFailure(host.name, err)
 	}
 	if r.isStoreFailing(prefix) {
@@ -51,6 +54,9 @@
 			break
 		}
 		relayed, err := r.awaitChanges(ctx, host.address, prefix, after)
+		if kind.Is(err, kind.Invalid) {
+			break // as in List
+		}
 		switch {
 		case err == nil:
 			r.recordSuccess(host.name)
--- a/io/updates/client.go
+++ b/io/updates/client.go
@@ -61,6 +61,8 @@
 	case http.StatusOK:
 	case http.StatusGone:
 		return update.Update{}, newError("request store updates", kind.NotFound, errors.New(response.Status))
+	case http.StatusBadRequest:
+		return update.Update{}, newError("request store updates", kind.Invalid, errors.New(response.Status))
 	default:
 		return update.Update{}, newError("request store updates", kind.Unavailable, errors.New(response.Status))
 	}
