Limit the requests to cold backend servers over all hosts

A cold server got as many requests as it has slots, though it crashes well above warmup_per_s requests a second.

With warmup_per_s in the configuration, the pool spaces the requests that start on a cold server (core/warmup), whatever becomes of them; refusals of keys that it doesn't own and slots that were not used don't count. The rate is such that two hosts that give out slots at the same time keep warmup_per_s*warmup_excess+warmup_slack together. A pool whose share grows starts without credit; hosts that decide alone take turns. The coordinator counts a cold server with the capacity that its rate allows, lets more ranges move while servers are cold, and raises the capacity in four steps after the warm-up.

An entry that says more than 0.7 s later that a server is cold counts now: the tolerance of 2.3 s hid a server that turned cold again while it was cold.

--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -9,6 +9,8 @@
 	IsLeaving bool
 	// Pause is how long the server wants no requests from the host that received the answer, or 0.
 	Pause time.Duration
+	// ColdFor is how long the server stays cold, or 0 if it did not say so.
+	ColdFor time.Duration
 	// InvalidRetryAfter is a Retry-After that can't be read, shortened, or empty. It has no effect.
 	InvalidRetryAfter string
 }
--- a/core/announcements/announcements.go
+++ b/core/announcements/announcements.go
@@ -57,22 +57,21 @@
 // Len returns the number of incarnations on record.
 func (a Announcements) Len() int { return len(a.byIncarnation) }
 
-// AppliedTo returns the roster with the servers marked as leaving that have said so. No request may be sent to them once
-// drainTime has passed since then, or from the roster's own deadline on if that is earlier.
+// AppliedTo returns the roster with the servers marked as leaving that have said so, and as cold until the time that they have said if
+// that is later than the roster's. No request may be sent to a leaving server once drainTime has passed since it said so, or
+// from the roster's own deadline on if that is earlier.
 func (a Announcements) AppliedTo(r roster.Roster, drainTime time.Duration) roster.Roster {
-	var leaving []instance.Instance
+	var changed []instance.Instance
 	for incarnation, e := range a.byIncarnation {
 		i, ok := r.Find(instance.IDOf(incarnation))
-		if !ok || e.leavingSince.IsZero() || i.Incarnation() != incarnation {
+		if !ok || i.Incarnation() != incarnation {
 			continue
 		}
-		deadline := e.leavingSince.Add(drainTime)
-		if i.IsLeaving && i.SendDeadline.Before(deadline) {
-			continue
+		if next := e.appliedTo(i, drainTime); next != i {
+			changed = append(changed, next)
 		}
-		leaving = append(leaving, i.WithLeaving(deadline))
 	}
-	return r.With(leaving...)
+	return r.With(changed...)
 }
 
 // Pruned returns the announcements without those of incarnations that have a successor in the roster or have been
@@ -80,7 +79,7 @@
 func (a Announcements) Pruned(r roster.Roster, now time.Time) Announcements {
 	isOver := func(incarnation string, e entry) bool {
 		if i, ok := r.Find(instance.IDOf(incarnation)); ok {
-			return i.Incarnation() != incarnation || e.leavingSince.IsZero() && !now.Before(e.pausedUntil)
+			return i.Incarnation() != incarnation || e.leavingSince.IsZero() && !now.Before(e.pausedUntil) && !now.Before(e.coldUntil)
 		}
 		return now.Sub(e.heardAt) >= absenceTimeout && !now.Before(e.pausedUntil)
 	}
--- a/core/backendservice/backendservice.go
+++ b/core/backendservice/backendservice.go
@@ -17,4 +17,8 @@
 	// KeyWarmUpTime is how long requests for a key are slow after the key moved, if the new owner did not get
 	// the previous owner's state.
 	KeyWarmUpTime time.Duration
+	// WarmUpTime is how long a backend server is cold after its start, and WarmUpRate the number of requests a second that it can
+	// take meanwhile, or 0 if they are not bounded.
+	WarmUpTime time.Duration
+	WarmUpRate float64
 }
--- a/core/instance/instance.go
+++ b/core/instance/instance.go
@@ -29,6 +29,9 @@
 	IsEvacuated bool
 	// WarmUpEnd is when the server reaches its full speed.
 	WarmUpEnd time.Time
+	// ColdRate is how many requests a second each host that gives out slots of the server may start there before WarmUpEnd, or
+	// 0 if there is no bound.
+	ColdRate float64
 }
 
 // Incarnation returns a name that is unique among the incarnations of all backend servers: ID@StartMillis.
@@ -40,6 +43,15 @@
 	return i
 }
 
+// WithColdRate returns the instance with another rate of requests while it is cold.
+func (i Instance) WithColdRate(rate float64) Instance {
+	i.ColdRate = rate
+	return i
+}
+
+// IsColdLimited reports whether the server is cold at now and the rate of its requests is bounded.
+func (i Instance) IsColdLimited(now time.Time) bool { return i.ColdRate > 0 && now.Before(i.WarmUpEnd) }
+
 // WithLeaving returns the instance marked as leaving. No request may be sent to it from the deadline on.
 func (i Instance) WithLeaving(deadline time.Time) Instance {
 	i.IsLeaving, i.SendDeadline = true, deadline
--- a/core/ownership/evacuationrun_test.go
+++ b/core/ownership/evacuationrun_test.go
@@ -30,6 +30,8 @@
 	releases  map[keyrange.Range]int
 	handovers int
 	saves     int
+	// coldRate is the rate of requests to a cold server.
+	coldRate float64
 	// maxUnserved is the largest number of keys that were unserved at once.
 	maxUnserved int
 }
@@ -64,6 +66,48 @@
 	r.members = next
 }
 
+// turnCold makes the servers of a data centre cold for some seconds.
+func (r *evacuationRun) turnCold(dataCentre string, coldFor time.Duration) {
+	next := make([]instance.Instance, len(r.members))
+	for n, i := range r.members {
+		if next[n] = i; i.DataCentre == dataCentre {
+			next[n] = i.WithColdRate(r.coldRate).WithWarmUpEnd(r.now.Add(coldFor))
+		}
+	}
+	r.members = next
+}
+
+// capacities returns the servers' slots, or for cold ones what their rate allows.
+func (r *evacuationRun) capacities() map[string]float64 {
+	all := map[string]float64{}
+	for _, i := range r.members {
+		all[i.Incarnation()] = float64(i.Slots)
+		if i.IsColdLimited(r.now) {
+			all[i.Incarnation()] = r.coldRate * r.MeanServiceTime().Seconds()
+		}
+	}
+	return all
+}
+
+// loadOf returns the requests a second for the keys of each server of a data centre.
+func (r *evacuationRun) loadOf(dataCentre string) []float64 {
+	var loads []float64
+	rates := r.load.Rates(r.now)
+	for _, i := range r.members {
+		if i.DataCentre != dataCentre {
+			continue
+		}
+		load := 0.0
+		for _, h := range r.state.Keys().Holdings() {
+			if h.Owner == i.Incarnation() {
+				load += rates.Sum(h.Range)
+			}
+		}
+		loads = append(loads, load)
+	}
+	return loads
+}
+
 // endEvacuation ends the evacuation of a data centre.
 func (r *evacuationRun) endEvacuation(dataCentre string) {
 	next := make([]instance.Instance, len(r.members))
@@ -95,7 +139,7 @@
 			r.state = apply(r.state)
 		}
 		delete(r.results, r.now)
-		next, commands := r.state.WithMembers(r.members, r.now).WithLease(r.now.Add(lease)).WithTick(r, r.now)
+		next, commands := r.state.WithMembers(r.members, r.now).WithCapacities(r.capacities()).WithLease(r.now.Add(lease)).WithTick(r, r.now)
 		r.state = next
 		for _, c := range commands {
 			r.execute(c)
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -23,7 +23,8 @@
 	if !isBalancing && (now.Sub(o.plannedAt) < o.timing.WaitingInterval || q.Waiting() == 0 && !o.hasOrphans()) {
 		return o
 	}
-	if len(o.moves) >= o.maxMoves() && !o.hasOrphans() {
+	limit := o.maxMoves() + o.coldMoves(now)
+	if len(o.moves) >= limit && !o.hasOrphans() {
 		return o
 	}
 	if o.mayInheritedGrantArrive(now) && len(o.keys.Gaps()) == 0 {
@@ -47,13 +48,13 @@
 		targets = append(targets, holding.Holding{Range: r, Owner: m.to, Fence: m.toFence})
 	}
 	keys := o.keys.WithAll(targets)
-	maxMoves := o.maxMoves() - len(o.moves)
+	maxMoves := limit - len(o.moves)
 	if len(keys.Holdings()) == 0 || len(keys.Gaps()) > 0 {
 		maxMoves = max(maxMoves, len(capacities))
 	}
 	planner := reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), q.MeanServiceTime()).WithRecentlyMoved(o.recentlyMoved(now))
 	for _, planned := range o.withoutLaterEvacuations(planner.Moves(max(0, maxMoves), isBalancing), now) {
-		if len(o.moves) >= o.maxMoves() && !o.isOrphan(planned.Range) {
+		if len(o.moves) >= limit && !o.isOrphan(planned.Range) {
 			break
 		}
 		for _, r := range o.movableParts(planned.Range) {
--- /dev/null
+++ b/core/pool/coldserver.go
@@ -0,0 +1,72 @@
+package pool
+
+import (
+	"time"
+
+	"redwingsill/core/attemptresult"
+	"redwingsill/core/instance"
+	"redwingsill/core/warmup"
+)
+
+// withPace returns the server with a new pace, without credit, if its instance has turned cold since the one before.
+func (s server) withPace(before instance.Instance, now time.Time) server {
+	if s.instance.IsColdLimited(now) && !before.IsColdLimited(now) {
+		s.pace = warmup.New(s.instance.ColdRate, now)
+	}
+	return s
+}
+
+// mayStart reports whether a request of a host may start on the server, which may be cold, at now. The host is that of the request; a
+// pool with a share is asked only by its own host.
+func (s server) mayStart(host uint32, share float64, now time.Time) bool {
+	if !s.instance.IsColdLimited(now) {
+		return true
+	}
+	if share < 1 && !warmup.IsTurnOf(host, s.instance.ColdRate, share, now) {
+		return false
+	}
+	return s.pace.MayStart(now)
+}
+
+// mayStartAny reports whether a request of some host may start on the server at now.
+func (s server) mayStartAny(now time.Time) bool {
+	return !s.instance.IsColdLimited(now) || s.pace.MayStart(now)
+}
+
+// withColdStart returns the server after a request started.
+func (s server) withColdStart(share float64, now time.Time) server {
+	if s.instance.IsColdLimited(now) {
+		s.pace = s.pace.WithStart(s.instance.ColdRate*min(1, share), now)
+	}
+	return s
+}
+
+// withColdResult returns the server after an attempt ended. One that was not sent, or that the server refused since it doesn't own
+// the key, does not count.
+func (s server) withColdResult(status attemptresult.Status, now time.Time) server {
+	if s.instance.IsColdLimited(now) && (status == attemptresult.NotOwner || status == attemptresult.Unsent) {
+		s.pace = s.pace.WithReturned(s.instance.ColdRate)
+	}
+	return s
+}
+
+// withTakeover returns the pool after its share has grown: this host has begun to give out the slots of the service for others. The
+// host before it may just have used the rate of the cold servers.
+func (p Pool) withTakeover(now time.Time) Pool {
+	for n, s := range p.servers {
+		if s.instance.IsColdLimited(now) {
+			next := *s
+			next.pace = next.pace.WithoutCredit(next.instance.ColdRate, now)
+			p = p.withServer(n, next)
+		}
+	}
+	return p
+}
+
+// coldConcurrency returns the server's concurrency, or that to which the rate of its requests bounds it while it is cold.
+func (s server) coldConcurrency(concurrency float64, meanServiceTime time.Duration, now time.Time) float64 {
+	if !s.instance.IsColdLimited(now) {
+		return concurrency
+	}
+	return min(concurrency, s.instance.ColdRate*meanServiceTime.Seconds())
+}
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -90,7 +90,7 @@
 func (p Pool) withRun(r slotrequest.SlotRequest, n int, now time.Time) Pool {
 	s := *p.servers[n]
 	p.runs = p.runs.Set(r.Ticket, run{incarnation: s.incarnation, rank: r.Rank, startedAt: now, deadline: r.Deadline, host: hostOf(r.Ticket), key: r.Key})
-	return p.withServer(n, s.withStart(now))
+	return p.withServer(n, s.withStart(now).withColdStart(p.share, now))
 }
 
 // refusalOf returns the refusal of a request of queue n whose deadline has not passed, and true if the request must be
@@ -153,7 +153,7 @@
 // a sharded service, where requests may wait for an owner rather than a slot.
 func (p Pool) hasFreeSlot(n int, now time.Time) bool {
 	if n != p.commonQueue() {
-		return p.servers[n].freeSlots(p.share, now) > 0
+		return p.servers[n].freeSlots(p.share, now) > 0 && p.servers[n].mayStartAny(now)
 	}
 	return p.isSharded || slices.ContainsFunc(p.servers, func(s *server) bool { return p.isAvailable(s, now) })
 }
@@ -164,7 +164,7 @@
 	if n != p.commonQueue() {
 		s := p.servers[n]
 		return n, s.freeSlots(p.share, now) > 0 && !now.Before(s.backoffUntil) && !s.isBlockedFor(host, now) && s.instance.AcceptsRequests(now) &&
-			!p.isHeldBack(s, host, now)
+			s.mayStart(host, p.share, now) && !p.isHeldBack(s, host, now)
 	}
 	if p.needsOwner(r) {
 		return 0, false
@@ -172,7 +172,7 @@
 	best, bestCost := -1, serverCost{}
 	serviceTime := p.serviceTimeOf(r.Rank)
 	for i, s := range p.servers {
-		if !p.isAvailable(s, now) || s.isBlockedFor(host, now) || slices.Contains(r.Excluded, s.incarnation) || p.isHeldBack(s, host, now) {
+		if !p.isAvailable(s, now) || s.isBlockedFor(host, now) || !s.mayStart(host, p.share, now) || slices.Contains(r.Excluded, s.incarnation) || p.isHeldBack(s, host, now) {
 			continue
 		}
 		if c := s.cost(r, serviceTime, now); best < 0 || c.isLess(bestCost) {
@@ -185,7 +185,7 @@
 // isAvailable reports whether the server can take one more request: it has a free slot and is neither leaving nor backing
 // off.
 func (p Pool) isAvailable(s *server, now time.Time) bool {
-	return !s.instance.IsLeaving && s.freeSlots(p.share, now) > 0 && !now.Before(s.backoffUntil)
+	return !s.instance.IsLeaving && s.freeSlots(p.share, now) > 0 && !now.Before(s.backoffUntil) && s.mayStartAny(now)
 }
 
 // cost returns the cost of running a request on the server. In falling weight it penalizes recent failures, an answer
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -51,6 +51,9 @@
 
 // WithShare returns the pool with another share of the slots, and the placements that follow.
 func (p Pool) WithShare(share float64, now time.Time) (Pool, []placement.Placement) {
+	if share > p.share {
+		p = p.withTakeover(now)
+	}
 	p.share = share
 	return p.withAllDispatched(now)
 }
@@ -65,7 +68,9 @@
 		if old, ok := p.serverIndex(i.Incarnation()); ok {
 			next = *p.servers[old]
 		}
+		before := next.instance
 		next.instance, next.incarnation = i, i.Incarnation()
+		next = next.withPace(before, now)
 		servers = append(servers, &next)
 	}
 	slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.incarnation, b.incarnation) })
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwingsill/core/instance"
+	"redwingsill/core/warmup"
 )
 
 // server is the pool's state of one backend server.
@@ -26,6 +27,8 @@
 	// externalRequests is how many requests the server had at externalAt that did not come through this pool.
 	externalRequests int
 	externalAt       time.Time
+	// pace spaces the requests that start while the server is cold and their rate is bounded.
+	pace warmup.Pace
 	// blockedUntil gives, by entry host, until when that host gets no slots here, since it could not connect. An answer
 	// to any host clears it.
 	blockedUntil map[uint32]time.Time
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -72,6 +72,9 @@
 	if r.Announcement.Pause > 0 {
 		s = s.withPause(host, r.Announcement.Pause, now)
 	}
+	if ok { // a repeated report of a result counts once
+		s = s.withColdResult(r.Status, now)
+	}
 	switch r.Status {
 	case attemptresult.Answered:
 		s = s.withReturned(host, now)
--- a/core/pool/wait.go
+++ b/core/pool/wait.go
@@ -36,13 +36,13 @@
 	total := 0.0
 	switch {
 	case n != p.commonQueue():
-		total = p.servers[n].concurrency(p.share)
+		total = p.servers[n].coldConcurrency(p.servers[n].concurrency(p.share), p.MeanServiceTime(), now)
 	case p.isSharded:
 		return 0, 0
 	default:
 		for _, s := range p.servers {
 			if !s.instance.IsLeaving && !now.Before(s.backoffUntil) {
-				total += s.concurrency(p.share)
+				total += s.coldConcurrency(s.concurrency(p.share), p.MeanServiceTime(), now)
 			}
 		}
 	}
--- a/io/coordination/services.go
+++ b/io/coordination/services.go
@@ -41,7 +41,9 @@
 	}
 	if now.Sub(service.capacitiesAt) >= c.timing.WaitingInterval {
 		service.capacitiesAt = now
-		service.state = service.state.WithCapacities(capacities(members, p.Slowness()))
+		all := capacities(members, p.Slowness())
+		withColdCapacities(all, members, c.routing.Read().Services[name], p.MeanServiceTime(), now)
+		service.state = service.state.WithCapacities(all)
 	}
 	state, commands := service.state.WithTick(p, now)
 	service.state = state
--- a/io/datagram/codec.go
+++ b/io/datagram/codec.go
@@ -28,6 +28,7 @@
 	codeReachabilityRequested
 	codeReachabilityReported
 	codeServerAnnounced
+	codeServerCold
 )
 
 // flagLeaving is the flag of an announcement that says that the server leaves.
@@ -76,6 +77,11 @@
 	case notification.ServerAnnounced:
 		w.putByte(codeServerAnnounced)
 		w.putServerAnnounced(n)
+	case notification.ServerCold:
+		w.putByte(codeServerCold)
+		w.putString(n.Service)
+		w.putString(n.Incarnation)
+		w.putVarint(int64(n.ColdFor))
 	case notification.HeldSlots:
 		w.putByte(codeHeldSlots)
 		w.putString(n.Service)
@@ -146,6 +152,8 @@
 		return notification.AttemptReported{Service: r.nextString(), Result: r.nextAttemptResult()}
 	case codeServerAnnounced:
 		return r.nextServerAnnounced()
+	case codeServerCold:
+		return notification.ServerCold{Service: r.nextString(), Incarnation: r.nextString(), ColdFor: time.Duration(r.nextVarint())}
 	case codeHeldSlots:
 		held := notification.HeldSlots{Service: r.nextString(), Host: uint32(r.nextUvarint())}
 		for range min(r.nextUvarint(), maxListLength) {
--- a/io/datagram/socket_test.go
+++ b/io/datagram/socket_test.go
@@ -31,6 +31,7 @@
 	notification.HeldSlots{Service: "s", Host: 1<<32 - 1, Tickets: []uint64{1, 2, 3}},
 	notification.HeldSlots{Service: "s"},
 	notification.ServerAnnounced{Service: "s", Host: 1<<32 - 1, Incarnation: "a@1", Announcement: announcement.Announcement{IsLeaving: true}},
+	notification.ServerCold{Service: "s", Incarnation: "a@1", ColdFor: 1234 * time.Millisecond},
 	notification.ServerAnnounced{Service: "s", Host: 3, Incarnation: "a@1", Announcement: announcement.Announcement{Pause: time.Minute}},
 	notification.Ping{},
 	notification.Pong{},
--- a/io/headers/names.go
+++ b/io/headers/names.go
@@ -26,6 +26,8 @@
 	Key string
 	// Handover is the state for the next owner of a key range, in the old owner's response to the release of the range.
 	Handover string
+	// WarmUp gives the milliseconds for which a backend server stays cold. Any answer may have it.
+	WarmUp string
 	// Leaving is set in each answer of a backend server that is leaving.
 	Leaving string
 }
--- a/io/origin/announcement.go
+++ b/io/origin/announcement.go
@@ -19,6 +19,9 @@
 		return announcement.Announcement{}
 	}
 	a := announcement.Announcement{IsLeaving: head.Header.Get(c.headers.Leaving) == leavingValue}
+	if c.headers.WarmUp != "" {
+		a.ColdFor = parseWarmUp(head.Header.Get(c.headers.WarmUp))
+	}
 	if value := head.Header.Get("Retry-After"); value != "" && head.StatusCode == http.StatusServiceUnavailable {
 		pause, isValid := parseRetryAfter(head.Header, c.now())
 		a.Pause = pause
--- a/io/slotclient/slotclient.go
+++ b/io/slotclient/slotclient.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"redwingsill/core/announcement"
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/directory"
 	"redwingsill/core/notification"
@@ -95,6 +96,9 @@
 	if r.Announcement.HasEffect() {
 		c.send(s.host, notification.ServerAnnounced{Service: s.service, Host: c.hostID, Incarnation: s.Incarnation, Announcement: r.Announcement})
 	}
+	if r.Announcement.ColdFor > 0 {
+		c.send(s.host, notification.ServerCold{Service: s.service, Incarnation: s.Incarnation, ColdFor: r.Announcement.ColdFor})
+	}
 	c.send(s.host, notification.AttemptReported{Service: s.service, Result: r})
 }
 
@@ -138,6 +142,8 @@
 			c.slotServer.Pause(n.Service, n.Incarnation, n.Host, n.Announcement.Pause)
 		}
 		c.onAnnouncement(from, n)
+	case notification.ServerCold:
+		c.onAnnouncement(from, notification.ServerAnnounced{Service: n.Service, Incarnation: n.Incarnation, Announcement: announcement.Announcement{ColdFor: n.ColdFor}})
 	case notification.HeldSlots:
 		c.slotServer.ReclaimUnlisted(n.Service, n.Host, n.Tickets, c.now().Add(-minReclaimAge))
 	case notification.Ping:
