Ask suspect backend servers whether they have turned cold

A server that turns cold again shows it late in its entry, and got its usual rate until then. The pool suspects a server whose answers take 1.5 times its usual time, or fail, three times in a row over 0.6 s. The host that gives out the service's slots asks such a server for its health: at most one server of a service a second, each at most every 2 s.

Ran: go test ./core/pool ./core/coldcheck, and the specs of platform on cold servers: pass.

--- a/core/pool/cold_test.go
+++ b/core/pool/cold_test.go
@@ -212,3 +212,29 @@
 		t.Errorf("%d requests in a second", most)
 	}
 }
+
+// Guards against a server that turns cold unnoticed, since its slowness follows its answers, and against suspicion of servers that are
+// slow for a moment.
+func TestServersWhoseAnswersBecomeSlowAreSuspectedOfBeingCold(t *testing.T) {
+	for name, c := range map[string]struct {
+		slowFor time.Duration
+		want    bool
+	}{"a noisy moment": {400 * time.Millisecond, false}, "cold": {time.Second, true}} {
+		r := newColdRun(0, 1)
+		r.runTime = 150 * time.Millisecond
+		r.runFor(3 * time.Second)
+		if suspects := r.pools[0].pool.ColdSuspects(r.now); len(suspects) > 0 {
+			t.Errorf("%s: suspects before: %v", name, suspects)
+		}
+		r.runTime = 300 * time.Millisecond
+		r.runFor(c.slowFor)
+		if got := len(r.pools[0].pool.ColdSuspects(r.now)) > 0; got != c.want {
+			t.Errorf("%s: suspected %v", name, got)
+		}
+		r.runTime = 150 * time.Millisecond
+		r.runFor(2 * time.Second)
+		if suspects := r.pools[0].pool.ColdSuspects(r.now); len(suspects) > 0 {
+			t.Errorf("%s: suspects after: %v", name, suspects)
+		}
+	}
+}
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -29,6 +29,12 @@
 	externalAt       time.Time
 	// pace spaces the requests that start while the server is cold and their rate is bounded.
 	pace warmup.Pace
+	// slowAnswers counts the slow or failed answers in a row, the first and last of which came at slowSince and lastSlowAt.
+	// usualTime is the moving average of the response times that were not slow.
+	slowAnswers int
+	slowSince   time.Time
+	lastSlowAt  time.Time
+	usualTime   time.Duration
 	// blockedUntil gives, by entry host, until when that host gets no slots here, since it could not connect. An answer
 	// to any host clears it.
 	blockedUntil map[uint32]time.Time
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -74,6 +74,9 @@
 	}
 	if ok { // a repeated report of a result counts once
 		s = s.withColdResult(r.Status, now)
+		if s.instance.ColdRate > 0 && !s.instance.IsColdLimited(now) {
+			s = s.withColdEvidence(r.Status, r.Duration, now)
+		}
 	}
 	switch r.Status {
 	case attemptresult.Answered:
--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -26,6 +26,7 @@
 	rangesFenced    *prometheus.CounterVec
 	leavingServers  *prometheus.CounterVec
 	pauses          *prometheus.CounterVec
+	coldChecks      *prometheus.CounterVec
 }
 
 // New returns metrics with their collectors registered.
@@ -47,8 +48,10 @@
 			Help: "Backend servers that this host heard leave from their answers, by service."}, []string{"service"}),
 		pauses: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_pauses_total",
 			Help: "Answers in which a backend server asked this host for a pause, by service."}, []string{"service"}),
+		coldChecks: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_cold_checks_total",
+			Help: "Health requests to backend servers that may have turned cold, by service and whether they had."}, []string{"service", "is_cold"}),
 	}
-	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses)
+	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses, m.coldChecks)
 	return m
 }
 
@@ -73,6 +76,11 @@
 // CountPause counts an answer in which a backend server of a service asked for a pause.
 func (m *Metrics) CountPause(service string) { m.pauses.WithLabelValues(service).Inc() }
 
+// CountColdCheck counts a health request to a backend server of a service, and whether the server was cold.
+func (m *Metrics) CountColdCheck(service string, isCold bool) {
+	m.coldChecks.WithLabelValues(service, strconv.FormatBool(isCold)).Inc()
+}
+
 // CountStoreCall counts a call to the platform's key-value store. The parameter call is the operation, and result is
 // "Done" or an error kind, or "UnreadableItem" for an item that was left out of a response.
 func (m *Metrics) CountStoreCall(call, result string) {
