--- a/core/ownership/faults_test.go
+++ b/core/ownership/faults_test.go
@@ -31,6 +31,8 @@
 	// copiesAnswers: servers answer over connections that carry many calls, and at times the answer to one call is repeated where
 	// that of a lost one is due.
 	copiesAnswers bool
+	// evacuatesServers: the data centres of servers are evacuated, and evacuations end. The coordinators know either late.
+	evacuatesServers bool
 }
 
 // reuseAfter is the time after which the address of an ended server may go to another service.
@@ -59,6 +61,9 @@
 	if m.faults.startsOtherServices && m.drawRarely("service") {
 		m.drawOtherService(m.drawServer())
 	}
+	if m.faults.evacuatesServers && m.drawRarely("evacuation") {
+		m.drawEvacuation(m.drawServer())
+	}
 	if m.faults.cutsHosts && !m.now.Before(m.splitUntil) {
 		m.drawHostFaults()
 	}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -61,12 +61,15 @@
 	store   *store
 	network *network
 	hosts   []*host
+	// directory has the hosts.
+	directory *rcu.Value[directory.Directory]
 }
 
 // newDeployment starts n hosts and waits until each of them receives changes.
 func newDeployment(n int) *deployment {
 	d := &deployment{store: newStore(), network: newNetwork()}
 	hosts := rcu.New(directory.Directory{})
+	d.directory = hosts
 	for i := range n {
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i))
 		hosts.Update(func(old directory.Directory) directory.Directory {
