--- a/core/coldcheck/coldcheck.go
+++ b/core/coldcheck/coldcheck.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// interval is the shortest time between two checks of servers of a service. It bounds their cost to one request in a thousand on
-	// the deployments with cold servers.
+	// interval is the shortest time between two checks of servers of a service. It bounds their cost to less than one in a hundred of
+	// the requests of a service.
 	interval = time.Second
 	// repeatAfter is the time after which a server may be checked again. It is shorter than a warm-up, since a server may turn cold
 	// just after it was checked.
