--- a/core/ownership/evacuation.go
+++ b/core/ownership/evacuation.go
@@ -13,8 +13,9 @@
 
 const (
 	// evacuationReserve is how long before the time from which nothing may be sent to an evacuated server the move of its last
-	// range begins. It covers a release that waits for running work, which takes a second on a slow server, and a repeat.
-	evacuationReserve = 1500 * time.Millisecond
+	// range begins. It covers a release that waits for running work, which takes a second on a slow server, and that other hosts, whose
+	// confirmation of the store's state was older, stop up to 1.6 s before the coordinator's host.
+	evacuationReserve = 2 * time.Second
 	// minEvacuationHold is the shortest time for which an evacuated server is granted keys. A shorter grant would hardly arrive
 	// before the server gets no more requests.
 	minEvacuationHold = 200 * time.Millisecond
--- a/core/ownership/evacuation_test.go
+++ b/core/ownership/evacuation_test.go
@@ -8,14 +8,17 @@
 	"redwingsill/core/keyrange"
 )
 
+// usualTime is the time left when an evacuation becomes known: the bound of 5 s, less the margin and the usual age of the confirmation.
+const usualTime = 3500 * time.Millisecond
+
 // Guards against keys that are left in an evacuated data centre when nothing may be sent there any more, against moving a range
 // twice, and against moving so many at once that a large part of the keys is unserved.
 func TestAllKeysLeaveAnEvacuatedDataCentreInOrder(t *testing.T) {
 	r := newEvacuationRun()
-	began, deadline := r.now, r.now.Add(3*time.Second)
+	began, deadline := r.now, r.now.Add(usualTime)
 	r.releases, r.handovers, r.saves, r.maxUnserved = map[keyrange.Range]int{}, 0, 3, 0
 	clear(r.heldUntil) // grants from before the evacuation end by a release
-	r.evacuate("zone-1", 3*time.Second)
+	r.evacuate("zone-1", usualTime)
 	for r.keysOf("zone-1") > 0 && r.now.Before(deadline) {
 		r.runFor(20 * time.Millisecond)
 	}
@@ -69,7 +72,7 @@
 func TestAnEvacuationThatEndsHalfWayMovesNoMoreKeys(t *testing.T) {
 	r := newEvacuationRun()
 	before := r.keysOf("zone-1")
-	r.evacuate("zone-1", 3*time.Second)
+	r.evacuate("zone-1", usualTime)
 	r.runFor(time.Second)
 	r.endEvacuation("zone-1")
 	r.runFor(time.Second)
--- a/io/forward/forwarder_test.go
+++ b/io/forward/forwarder_test.go
@@ -120,12 +120,18 @@
 // newFrontEnd returns the URL of a front end with the route a.example/ to service s, which has one backend server. The
 // server owns all keys if the service is sharded. The front end retries at most the given number of times.
 func newFrontEnd(t *testing.T, address string, isSharded, isIdempotent bool, retries float64) string {
-	log := slog.New(slog.DiscardHandler)
 	server := instance.Instance{ID: "i-1", Service: "s", Address: address, DataCentre: "ilo", Slots: 2}
+	return newFrontEndOf(t, []instance.Instance{server}, roster.New(server), isSharded, isIdempotent, retries)
+}
+
+// newFrontEndOf returns the URL of a front end as newFrontEnd does, whose slot server knows the given backend servers. The forwarder knows
+// those of a roster. The first server owns all keys if the service is sharded.
+func newFrontEndOf(t *testing.T, servers []instance.Instance, known roster.Roster, isSharded, isIdempotent bool, retries float64) string {
+	log := slog.New(slog.DiscardHandler)
 	slots := slotserver.New(time.Now)
-	slots.SetService("s", isSharded, []instance.Instance{server})
+	slots.SetService("s", isSharded, servers)
 	if isSharded {
-		slots.SetKeys("s", keymap.New(holding.Holding{Range: keyrange.Range{To: keyrange.MaxKey}, Owner: server.Incarnation(), Fence: 1}), nil)
+		slots.SetKeys("s", keymap.New(holding.Holding{Range: keyrange.Range{To: keyrange.MaxKey}, Owner: servers[0].Incarnation(), Fence: 1}), nil)
 	}
 	socket, closeSocket, err := datagram.New("127.0.0.1:0", time.Now)
 	if err != nil {
@@ -140,7 +146,7 @@
 			Objective: time.Second, MaxAttempts: 2, Destinations: []destination.Destination{{Service: "s", Weight: 1}}})})
 	client, closeClient := origin.New(names, time.Now)
 	t.Cleanup(closeClient)
-	f := forward.New("ilo", forward.RetryBudget{Window: 10 * time.Second, Extra: retries}, routes, rcu.New(roster.New(server)), hosts,
+	f := forward.New("ilo", forward.RetryBudget{Window: 10 * time.Second, Extra: retries}, routes, rcu.New(known), hosts,
 		rcu.New(announcements.Announcements{}), func(string, instance.Instance, announcement.Announcement) {}, slotClient, client, noMetrics{}, time.Now, log)
 	frontEnd := httptest.NewServer(ingress.New(names, 1<<20, routes, f, time.Now, log))
 	t.Cleanup(frontEnd.Close)
