Send nothing to unlisted servers of an evacuated data centre

A server that discovery had removed before the evacuation still got release calls after the bound. Ran: go test ./core/ownership -run 'Evacuat|Unlisted|Cold': pass; the new test fails without the change.

--- a/core/ownership/evacuation.go
+++ b/core/ownership/evacuation.go
@@ -74,3 +74,18 @@
 	bounded, _ := o.grantHoldTime(o.servers[incarnation].instance, holdTime, now)
 	return bounded
 }
+
+// isShutOff reports whether nothing may be sent to an incarnation at now. Discovery may have removed it before its data centre was
+// evacuated, which then shows by the other servers there.
+func (o Ownership) isShutOff(incarnation string, now time.Time) bool {
+	s := o.servers[incarnation].instance
+	if _, isMember := o.members[incarnation]; isMember || s.IsShutOff(now) {
+		return s.IsShutOff(now)
+	}
+	for _, m := range o.members {
+		if m.DataCentre == s.DataCentre && m.IsShutOff(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/ownership/evacuation_test.go
+++ b/core/ownership/evacuation_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"redwingsill/core/instance"
 	"redwingsill/core/keyrange"
 )
 
@@ -130,3 +131,20 @@
 		}
 	}
 }
+
+// Guards against calls, beyond the deadline, to a server that discovery no longer listed when its data centre was evacuated.
+func TestNothingIsSentToAnUnlistedServerOfAnEvacuatedDataCentre(t *testing.T) {
+	r := newEvacuationRun()
+	r.silent["s1"] = true
+	r.members = slices.DeleteFunc(slices.Clone(r.members), func(i instance.Instance) bool { return i.ID == "s1" })
+	r.runFor(200 * time.Millisecond)
+	deadline := r.now.Add(time.Second)
+	r.evacuate("zone-1", time.Second)
+	r.runFor(6 * time.Second)
+	if last := r.calls["s1@1"]; !last.Before(deadline) || last.Before(deadline.Add(-600*time.Millisecond)) {
+		t.Errorf("last call %v after the deadline", last.Sub(deadline))
+	}
+	if r.state.Keys().KeyCount("s1@1") > 0 {
+		t.Error("the server still owns keys")
+	}
+}
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -53,7 +53,7 @@
 	case !known, s.hasEnded(), o.mayInheritedGrantArrive(now), m.grantID != 0, m.releaseID != 0, now.Before(m.retryAt), !o.maySendGrants(now):
 		return o, commands
 	}
-	if s.instance.IsShutOff(now) {
+	if o.isShutOff(m.from, now) {
 		return o, commands // the range is freed when the owner's grants have expired
 	}
 	var id int64
