--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -23,7 +23,8 @@
 	if !isBalancing && (now.Sub(o.plannedAt) < o.timing.WaitingInterval || q.Waiting() == 0 && !o.hasOrphans()) {
 		return o
 	}
-	if len(o.moves) >= o.maxMoves() && !o.hasOrphans() {
+	limit := o.maxMoves() + o.coldMoves(now)
+	if len(o.moves) >= limit && !o.hasOrphans() {
 		return o
 	}
 	if o.mayInheritedGrantArrive(now) && len(o.keys.Gaps()) == 0 {
@@ -37,27 +38,23 @@
 		o.rates, o.ratesAt = q.KeyLoad().Rates(now), now
 	}
 	capacities := map[string]float64{}
-	for incarnation, m := range o.members {
-		if !o.canOwn(incarnation) {
-			continue
-		}
-		capacity := float64(max(1, m.Slots))
-		if c, ok := o.capacities[incarnation]; ok {
-			capacity = c
+	for incarnation := range o.members {
+		if o.canOwn(incarnation) {
+			capacities[incarnation] = o.capacityOf(incarnation)
 		}
-		capacities[incarnation] = capacity
 	}
 	targets := make([]holding.Holding, 0, len(o.moves))
 	for r, m := range o.moves {
 		targets = append(targets, holding.Holding{Range: r, Owner: m.to, Fence: m.toFence})
 	}
 	keys := o.keys.WithAll(targets)
-	maxMoves := o.maxMoves() - len(o.moves)
+	maxMoves := limit - len(o.moves)
 	if len(keys.Holdings()) == 0 || len(keys.Gaps()) > 0 {
 		maxMoves = max(maxMoves, len(capacities))
 	}
-	for _, planned := range reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), q.MeanServiceTime()).WithRecentlyMoved(o.recentlyMoved(now)).Moves(max(0, maxMoves), isBalancing) {
-		if len(o.moves) >= o.maxMoves() && !o.isOrphan(planned.Range) {
+	planner := reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), q.MeanServiceTime()).WithRecentlyMoved(o.recentlyMoved(now))
+	for _, planned := range o.withoutLaterEvacuations(planner.Moves(max(0, maxMoves), isBalancing), now) {
+		if len(o.moves) >= limit && !o.isOrphan(planned.Range) {
 			break
 		}
 		for _, r := range o.movableParts(planned.Range) {
@@ -133,28 +130,6 @@
 	return o.withMove(r, m)
 }
 
-// withAvailableTarget returns the state with another target for a freed range, the member with the fewest keys, if the
-// planned one is leaving, gone or replaced.
-func (o Ownership) withAvailableTarget(r keyrange.Range, m move) Ownership {
-	if m.stage != freed || o.canOwn(m.to) {
-		return o
-	}
-	fewest := ""
-	for incarnation := range o.members {
-		if !o.canOwn(incarnation) {
-			continue
-		}
-		if fewest == "" || o.keys.KeyCount(incarnation) < o.keys.KeyCount(fewest) || o.keys.KeyCount(incarnation) == o.keys.KeyCount(fewest) && incarnation < fewest {
-			fewest = incarnation
-		}
-	}
-	if fewest == "" {
-		return o
-	}
-	m.to = fewest
-	return o.withMove(r, m)
-}
-
 // lateGrant returns why a grant of keys of the range to an incarnation may still take effect after a release: one of an earlier
 // coordinator, or one of this coordinator that was lost or is in flight. That of a presumed grant shows only with the release's answer.
 func (o Ownership) lateGrant(incarnation string, r keyrange.Range, now time.Time) ownershipevent.LateGrant {
