--- a/core/pool/coldserver.go
+++ b/core/pool/coldserver.go
@@ -8,11 +8,12 @@
 	"redwingsill/core/warmup"
 )
 
-// withPace returns the server with a new pace, without credit, if its instance has turned cold since the one before.
-func (s server) withPace(before instance.Instance, now time.Time) server {
-	if s.instance.IsColdLimited(now) && !before.IsColdLimited(now) {
-		s.pace = warmup.New(s.instance.ColdRate, now)
+// withInstance returns the server as an instance describes it, with a new pace, without credit, if it has turned cold.
+func (s server) withInstance(i instance.Instance, now time.Time) server {
+	if i.IsColdLimited(now) && !s.instance.IsColdLimited(now) {
+		s.pace = warmup.New(i.ColdRate, now)
 	}
+	s.instance, s.incarnation = i, i.Incarnation()
 	return s
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -68,9 +68,7 @@
 		if old, ok := p.serverIndex(i.Incarnation()); ok {
 			next = *p.servers[old]
 		}
-		before := next.instance
-		next.instance, next.incarnation = i, i.Incarnation()
-		next = next.withPace(before, now)
+		next = next.withInstance(i, now)
 		servers = append(servers, &next)
 	}
 	slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.incarnation, b.incarnation) })
