--- a/core/pool/coldserver.go
+++ b/core/pool/coldserver.go
@@ -51,9 +51,12 @@
 	return s
 }
 
-// withTakeover returns the pool after its share has grown: this host has begun to give out the slots of the service for others. The
-// host before it may just have used the rate of the cold servers.
-func (p Pool) withTakeover(now time.Time) Pool {
+// withoutColdCredit returns the pool without credit at cold servers if the new share is larger: this host then begins to give out the
+// slots of the service for others, and the host before it may just have used the rate of the cold servers.
+func (p Pool) withoutColdCredit(share float64, now time.Time) Pool {
+	if share <= p.share {
+		return p
+	}
 	for n, s := range p.servers {
 		if s.instance.IsColdLimited(now) {
 			next := *s
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -51,9 +51,7 @@
 
 // WithShare returns the pool with another share of the slots, and the placements that follow.
 func (p Pool) WithShare(share float64, now time.Time) (Pool, []placement.Placement) {
-	if share > p.share {
-		p = p.withTakeover(now)
-	}
+	p = p.withoutColdCredit(share, now)
 	p.share = share
 	return p.withAllDispatched(now)
 }
