Ownership: a map in the store may be older than the grants

After the store has returned to a copy, a new coordinator would renew grants for the owners in an older map while later owners hold the keys. It now sends nothing until all holds have ended and then writes the map under raised tokens. A coordinator whose lease had not ended goes on by its own map, and writes it again. Sets of hosts that the store lost count as one set with those that are known.

--- a/core/ownership/coordinator_test.go
+++ b/core/ownership/coordinator_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingsill/core/electorate"
+	"redwingsill/core/era"
 	"redwingsill/core/ownership"
 	"redwingsill/core/reachability"
 )
@@ -14,7 +15,9 @@
 	term  int
 	// revision is the revision of the store after the coordinator's last write, or at its election.
 	revision int64
-	isAlive  bool
+	// era is the newest era of the store that the coordinator knows, and writtenIn that of its map.
+	era, writtenIn era.Era
+	isAlive        bool
 	// isCutOffFromStore is set once the coordinator can't reach the store. It may still reach servers.
 	isCutOffFromStore bool
 	// frozenUntil is the time until which the coordinator is stopped. answers are the results that arrived meanwhile.
--- a/core/ownership/faults_test.go
+++ b/core/ownership/faults_test.go
@@ -31,6 +31,8 @@
 	// copiesAnswers: servers answer over connections that carry many calls, and at times the answer to one call is repeated where
 	// that of a lost one is due.
 	copiesAnswers bool
+	// returnsStore: the store returns to an older copy, and coordinators learn of that early or late.
+	returnsStore bool
 }
 
 // reuseAfter is the time after which the address of an ended server may go to another service.
@@ -62,6 +64,9 @@
 	if m.faults.cutsHosts && !m.now.Before(m.splitUntil) {
 		m.drawHostFaults()
 	}
+	if m.faults.returnsStore {
+		m.drawReturn()
+	}
 	c := m.current()
 	if c == nil {
 		return
--- a/core/ownership/host_test.go
+++ b/core/ownership/host_test.go
@@ -101,12 +101,15 @@
 // updateElectorate reads the sets of hosts of earlier coordinators, and writes the coordinator's own. The answer to a write
 // may be lost; it is then repeated until the result is known.
 func (m *model) updateElectorate(c *coordinator) {
-	if c.term != m.term || !m.reachesStore(c) || !rapid.Bool().Draw(m.t, "electorate") {
+	if c.term != m.term || c.era != m.era || !m.reachesStore(c) || !rapid.Bool().Draw(m.t, "electorate") {
 		return
 	}
 	if !c.hasReadElectorate {
 		c.hasReadElectorate, c.electedAt = true, m.now
 		c.electorate = electorate.New(int64(c.term)).WithEarlier(m.electorates)
+		if m.electoratesWritten != m.era {
+			c.electorate = electorate.New(int64(c.term)).WithOlder(append(slices.Clone(m.electorates), m.lostHosts))
+		}
 	}
 	if m.now.Sub(c.electedAt) > modelTiming.LongestInheritance() {
 		c.electorate = c.electorate.WithEarlier(nil)
@@ -120,7 +123,7 @@
 		c.electorateWrite = append(slices.Clone(c.electorate.Earlier()), hosts)
 	}
 	if rapid.IntRange(0, 3).Draw(m.t, "write of electorate") > 0 {
-		m.electorates = c.electorateWrite
+		m.electorates, m.electoratesWritten = c.electorateWrite, c.era
 		if rapid.IntRange(0, 3).Draw(m.t, "answer to write of electorate") > 0 {
 			m.logf("coordinator %d counts on the hosts %v", c.term, m.electorates[len(m.electorates)-1])
 			c.electorate, c.electorateWrite = c.electorate.WithWritten(), nil
@@ -176,7 +179,7 @@
 		return nil
 	}
 	for _, c := range m.coordinators {
-		if c.isAlive && !c.isFrozen(m.now) && c.host == candidate && c.state.IsActing(m.now) && c.revision == m.revision && rapid.Bool().Draw(m.t, "resumes") {
+		if c.isAlive && !c.isFrozen(m.now) && c.host == candidate && c.era == m.era && !c.state.IsMapLost() && c.state.IsActing(m.now) && c.revision == m.revision && rapid.Bool().Draw(m.t, "resumes") {
 			return c
 		}
 	}
--- a/core/ownership/moves.go
+++ b/core/ownership/moves.go
@@ -82,7 +82,7 @@
 		o.isDeposed = true
 		return o
 	}
-	o.keys = save.Keys
+	o.keys, o.mapState = save.Keys, mapCurrent
 	if o.isReservingFences {
 		o.reservedFence = save.ReservedFence
 	}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -64,6 +64,11 @@
 	// rates are the request rates of keys at ratesAt.
 	rates   keyrates.Rates
 	ratesAt time.Time
+	// mapState differs from mapCurrent while the store has lost the map. keepsGaps is set if, until inheritedUntil, ranges without an
+	// owner in the map may have one, and isUnheld once holds under an older map have probably expired.
+	mapState  mapState
+	keepsGaps bool
+	isUnheld  bool
 	// isDeposed is set once a write to the store has failed.
 	isDeposed bool
 	// events is what happened since the last WithoutEvents.
@@ -130,8 +135,11 @@
 func (o Ownership) Keys() keymap.Map { return o.keys }
 
 // Unserved returns the ranges to which no request may be sent now: those that are moving, and those whose new owner has
-// not acknowledged its grant.
+// not acknowledged its grant. With an older map than the grants, requests go to the owners in it for as long as these may hold.
 func (o Ownership) Unserved() []keyrange.Range {
+	if o.mapState == mapOlder && o.isUnheld {
+		return []keyrange.Range{keyrange.All()}
+	}
 	ranges := o.movingRanges()
 	for r, g := range o.renewals {
 		if g.isUnacknowledged {
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -10,6 +10,7 @@
 
 	"redwingsill/core/command"
 	"redwingsill/core/electorate"
+	"redwingsill/core/era"
 	"redwingsill/core/instance"
 	"redwingsill/core/keyload"
 	"redwingsill/core/keymap"
@@ -68,6 +69,29 @@
 	checkOneOwner(t, faults{copiesAnswers: true})
 }
 
+func TestOneOwnerWhenTheStoreReturnsToACopy(t *testing.T) {
+	checkOneOwner(t, faults{returnsStore: true})
+}
+
+// A coordinator whose lease the store ended early goes on beside its successor, and both may be elected in the next era.
+func TestOneOwnerWhenTheStoreReturnsToACopyAndALeaseIsRevoked(t *testing.T) {
+	checkOneOwner(t, faults{returnsStore: true, revokesLeases: true, resumesTerms: true})
+}
+
+func TestOneOwnerWhenTheStoreReturnsToACopyAndSavesAreDelayed(t *testing.T) {
+	checkOneOwner(t, faults{returnsStore: true, delaysSaves: true, freezesCoordinators: true})
+}
+
+// The sets of hosts by which coordinators find the store unreachable are lost too.
+func TestOneOwnerWhenTheStoreReturnsToACopyForSomeHosts(t *testing.T) {
+	checkOneOwner(t, faults{returnsStore: true, cutsHosts: true})
+}
+
+func TestOneOwnerUnderAllFaultsAndReturns(t *testing.T) {
+	checkOneOwner(t, faults{reusesAddresses: true, misleadsDiscovery: true, startsOtherServices: true, revokesLeases: true,
+		freezesCoordinators: true, cutsHosts: true, resumesTerms: true, delaysSaves: true, copiesAnswers: true, returnsStore: true})
+}
+
 func TestOneOwnerUnderAllFaults(t *testing.T) {
 	checkOneOwner(t, faults{reusesAddresses: true, misleadsDiscovery: true, startsOtherServices: true, revokesLeases: true,
 		freezesCoordinators: true, cutsHosts: true, resumesTerms: true, delaysSaves: true, copiesAnswers: true})
@@ -128,6 +152,11 @@
 	splitAt, splitUntil time.Time
 	// electorates are the sets of hosts in the store, that of the coordinator that wrote last at the end.
 	electorates [][]string
+	// era is the store's era, and written and electoratesWritten those in which the map and the sets of hosts were written. copied is
+	// the copy to which the store may return, and lostHosts are the hosts that had an entry since the copy to which it last did.
+	era, written, electoratesWritten era.Era
+	copied                           *storeCopy
+	lostHosts                        []string
 }
 
 func newModel(t *rapid.T, f faults) *model {
@@ -177,6 +206,7 @@
 		m.lastDown = m.now
 	}
 	m.updateHosts()
+	m.updateCopy()
 	m.elect()
 	m.completeSaves()
 	for _, c := range m.coordinators {
@@ -191,14 +221,20 @@
 // run runs one step of a coordinator.
 func (m *model) run(c *coordinator) {
 	c.takeAnswers()
-	if c.term == m.term && m.reachesStore(c) && m.now.Before(m.leaseUntil) {
+	m.learnEra(c)
+	if !c.isAlive {
+		return
+	}
+	if c.term == m.term && c.era == m.era && m.reachesStore(c) && m.now.Before(m.leaseUntil) {
 		m.leaseUntil = m.now.Add(lease)
 		c.leaseEnd = m.leaseUntil
 		c.state = c.state.WithLease(m.leaseUntil)
 	}
 	if m.faults.cutsHosts {
 		m.updateElectorate(c)
-		m.exchangeReports(c)
+		if !c.state.IsMapLost() {
+			m.exchangeReports(c)
+		}
 		if !c.isAlive {
 			return
 		}
@@ -317,6 +353,9 @@
 	}
 	m.term++
 	m.leaseUntil = m.now.Add(lease)
+	if m.isResumedInNewEra(candidate) {
+		return
+	}
 	if c := m.resumable(candidate); c != nil {
 		m.logf("coordinator %d resumes with term %d", c.term, m.term)
 		c.term, c.isCutOffFromStore, c.leaseEnd = m.term, false, m.leaseUntil
@@ -330,8 +369,8 @@
 			c.isAlive = false
 		}
 	}
-	m.logf("coordinator %d elected", m.term)
-	c := &coordinator{state: ownership.New(modelTiming, m.keys, m.fence, m.now).WithLease(m.leaseUntil), term: m.term,
+	m.logf("coordinator %d elected in era %d, with a map of era %d", m.term, m.era, m.written)
+	c := &coordinator{state: m.loaded().WithLease(m.leaseUntil), term: m.term, era: m.era, writtenIn: m.era,
 		revision: m.revision, isAlive: true, host: candidate, leaseEnd: m.leaseUntil, reports: map[string]reachability.Reachability{}}
 	c.state = m.withLastOutage(c.state)
 	m.coordinators = append(m.coordinators, c)
@@ -379,7 +418,7 @@
 		}
 		m.call(next)
 	case command.Save:
-		next := save{from: c, command: cmd, term: c.term, revision: c.revision, dueAt: m.now}
+		next := save{from: c, command: cmd, term: c.term, revision: c.revision, era: c.era, dueAt: m.now}
 		if m.faults.delaysSaves {
 			next.dueAt = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(m.t, "save ms")) * time.Millisecond)
 			next.isAnswerLost = rapid.IntRange(0, 2).Draw(m.t, "save answer lost") == 0
--- a/core/ownership/save_test.go
+++ b/core/ownership/save_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"redwingsill/core/command"
+	"redwingsill/core/era"
 )
 
 // save is a coordinator's write to the store, on condition that its term lasts and that nobody has written since.
@@ -14,6 +15,7 @@
 	command  command.Save
 	term     int
 	revision int64
+	era      era.Era
 	// isSent is set once the coordinator reached the store, which carries out the write at dueAt.
 	isSent bool
 	dueAt  time.Time
@@ -35,8 +37,13 @@
 			pending = append(pending, s)
 			continue
 		}
-		if s.writtenAs == 0 && s.term == m.term && s.revision == m.revision && m.now.Before(m.leaseUntil) {
-			m.keys, m.fence = s.command.Keys, max(m.fence, s.command.ReservedFence)
+		isOther := s.era != m.era
+		if isOther && m.written < m.era && s.writtenAs == 0 && m.drawOnceIn(4, "conditions hold by coincidence") {
+			m.keys, m.fence, m.written = s.command.Keys, s.command.ReservedFence, s.era
+			m.revision++
+		}
+		if !isOther && s.writtenAs == 0 && s.term == m.term && s.revision == m.revision && m.now.Before(m.leaseUntil) {
+			m.keys, m.fence, m.written = s.command.Keys, max(m.fence, s.command.ReservedFence), s.era
 			m.revision++
 			s.writtenAs = m.revision
 		}
@@ -55,12 +62,12 @@
 // unless another coordinator has written since.
 func (m *model) answerSave(s save) {
 	result := command.Stale
-	if s.writtenAs != 0 && s.writtenAs == m.revision {
+	if s.writtenAs != 0 && s.writtenAs == m.revision && s.era == m.era {
 		result = command.Done
 	}
 	m.tell(s.from, func() {
 		if result == command.Done {
-			s.from.revision = s.writtenAs
+			s.from.revision, s.from.writtenIn = s.writtenAs, s.era
 		}
 		s.from.state = s.from.state.WithSaveResult(s.command, result, m.now)
 	})
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -16,7 +16,15 @@
 		return o, nil
 	}
 	var commands []command.Command
-	if now.Before(o.movesUntil) {
+	switch {
+	case o.mapState == mapOlder:
+		return o.withOlderMap(now)
+	case !now.Before(o.movesUntil) || o.mapState == mapLost:
+	case o.mapState == mapUnwritten:
+		if o.pendingSave == 0 {
+			o, commands = o.withWholeMap(o.keys, o.reservedFence+fenceBlock)
+		}
+	default:
 		// Tokens are reserved before they run out, so that moves don't wait for the write.
 		if o.lastFence+int64(o.maxMoves())*spareFencesPerMove > o.reservedFence && o.pendingSave == 0 {
 			o, commands = o.withSave(commands, true)
--- a/core/reachability/reachability.go
+++ b/core/reachability/reachability.go
@@ -72,13 +72,24 @@
 // have the names of their hosts as keys. The result is false if too few hosts of the set reach the store to say. Only
 // hosts that know this coordinator count.
 func StoreReachableSince(records map[string]Reachability, hosts []string, revision int64) (time.Time, bool) {
+	return reachableSince(records, hosts, revision, len(hosts)/3+1) // more than a third has a host in common with two thirds
+}
+
+// StoreReachableSinceByMost is as StoreReachableSince, for a set that may differ from the one that the earlier coordinator counts on.
+// It needs more than two thirds of the hosts: as long as fewer than half of them are missing in the other set, or are additional
+// there, these contain more than a third of the other set.
+func StoreReachableSinceByMost(records map[string]Reachability, hosts []string, revision int64) (time.Time, bool) {
+	return reachableSince(records, hosts, revision, 2*len(hosts)/3+1)
+}
+
+// reachableSince returns the time since which the needed number of hosts reach the store without interruption.
+func reachableSince(records map[string]Reachability, hosts []string, revision int64, needed int) (time.Time, bool) {
 	var since []time.Time
 	for _, name := range hosts {
 		if r, ok := records[name]; ok && !r.wasLost() && r.CoordinatorRevision >= revision {
 			since = append(since, r.ReachableSince)
 		}
 	}
-	needed := len(hosts)/3 + 1 // more than a third has a host in common with two thirds
 	if len(hosts) == 0 || len(since) < needed {
 		return time.Time{}, false
 	}
