Coordination: the coordinator's key, map and set of hosts across eras of the store

After a return of the store to a copy a coordinator's lease is gone and its map is lost. One that may still renew grants goes on by its own map and takes the key anew; others leave it 1.2 s, and use a map of an earlier era only after all holds. Values name the era in which they were written, except in era 0.

--- a/core/ownership/era.go
+++ b/core/ownership/era.go
@@ -34,14 +34,18 @@
 	return o
 }
 
-// WithLostEra returns the state of a coordinator whose store has come back from an older copy before its lease had ended, and whether
-// its map can still be used. Moves stop. Grants are renewed to the end of the lease, until which no other coordinator can have given
-// keys on.
+// WithLostEra returns the state of a coordinator that learns at now that its store has come back from an older copy, and whether its
+// map can still be used: as long as it may renew grants, no other coordinator can have given keys on. Moves stop. Grants are renewed
+// to the end of the lease or of the last finding that the store was unreachable. The state stays for OutageDetectionTime longer, which
+// is less than another coordinator of the new era waits before it grants.
 func (o Ownership) WithLostEra(now time.Time) (Ownership, bool) {
-	if o.isDeposed || o.mapState == mapOlder || !now.Before(o.movesUntil) {
+	if o.isDeposed || o.mapState == mapOlder || !now.Before(o.movesUntil) && !o.renewsWithoutStore(now) {
 		return o, false
 	}
-	o.mapState, o.renewsUntil = mapLost, o.movesUntil
+	if o.mapState != mapLost {
+		o.lostUntil = latest(o.movesUntil, now).Add(o.timing.OutageDetectionTime)
+	}
+	o.mapState, o.renewsUntil = mapLost, earliest(o.renewsUntil, latest(o.movesUntil, o.unreachableUntil))
 	// A write in flight is gone, or counts for nothing. No grant has followed it.
 	o.pendingSave, o.savingRanges, o.isReservingFences = 0, nil, false
 	moves := make(map[keyrange.Range]move, len(o.moves))
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -67,6 +67,7 @@
 	// mapState differs from mapCurrent while the store has lost the map. keepsGaps is set if, until inheritedUntil, ranges without an
 	// owner in the map may have one, and isUnheld once holds under an older map have probably expired.
 	mapState  mapState
+	lostUntil time.Time // when a state with mapLost ends
 	keepsGaps bool
 	isUnheld  bool
 	// isDeposed is set once a write to the store has failed.
@@ -162,6 +163,9 @@
 // IsActing reports whether the coordinator may still send commands at now, or may again once it finds the store
 // unreachable.
 func (o Ownership) IsActing(now time.Time) bool {
+	if o.mapState == mapLost {
+		return now.Before(o.lostUntil)
+	}
 	return !o.isDeposed && (now.Before(o.movesUntil.Add(o.timing.OutageDetectionTime)) || o.renewsWithoutStore(now))
 }
 
--- a/core/ownership/property_test.go
+++ b/core/ownership/property_test.go
@@ -238,7 +238,7 @@
 		if !c.isAlive {
 			return
 		}
-	} else if m.isStoreDown && rapid.IntRange(0, 2).Draw(m.t, "detects outage") == 0 && c.term >= m.reachableTerm {
+	} else if m.isStoreDown && !c.state.IsMapLost() && rapid.IntRange(0, 2).Draw(m.t, "detects outage") == 0 && c.term >= m.reachableTerm {
 		c.state = c.state.WithStoreUnreachable(m.now)
 	}
 	if m.reachesStore(c) && !m.now.Before(c.isBlindUntil) {
--- a/io/coordination/commands.go
+++ b/io/coordination/commands.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"redwingsill/core/command"
+	"redwingsill/core/era"
 	"redwingsill/core/keymap"
-	"redwingsill/core/ownership"
 	"redwingsill/core/record"
 	"redwingsill/core/transaction"
 	"redwingsill/io/registry"
@@ -21,9 +21,13 @@
 			keys, fence, decodeErr := ownersIn(r)
 			if decodeErr == nil {
 				return func() {
+					if c.services[name] != service {
+						return // dropped since, such as at a new era of the store
+					}
 					now := c.now()
-					service.state = ownership.New(c.timing, keys, fence, now).WithLease(c.tenure.leaseEnd)
+					service.state = c.loadedState(keys, fence, registry.EraOf(r.Value), now).WithLease(c.tenure.leaseEnd)
 					service.revision, service.isLoaded, service.isStoreReachableSinceKnown, service.members = r.Revision, true, false, nil
+					service.writtenIn = era.Of(c.tenure.revision)
 					c.log.Info("owners loaded", "Service", name, "Revision", r.Revision, "Holdings", len(keys.Holdings()), "Fence", fence,
 						"InheritedFor", remaining(service.state.InheritedUntil(), now))
 				}
@@ -146,7 +150,8 @@
 func (c *Coordination) saveOwners(name string, service *shardedService, cmd command.Save) {
 	writeID := c.nextWriteID()
 	revision, tenureRevision := service.revision, c.tenure.revision
-	value, err := registry.EncodeOwners(cmd.Keys, cmd.ReservedFence, writeID)
+	writtenIn := era.Of(tenureRevision)
+	value, err := registry.EncodeOwners(cmd.Keys, cmd.ReservedFence, writeID, writtenIn)
 	if err != nil {
 		c.log.Error("owners not encoded", "Service", name, "Error", err)
 		return
@@ -158,8 +163,8 @@
 		return func() {
 			// Also logged if the write failed: Result tells whether the owners were saved.
 			c.log.Info("owners saved", "Service", name, "Result", result.String(), "Revision", newRevision, "Holdings", len(cmd.Keys.Holdings()))
-			if result == command.Done {
-				service.revision = newRevision
+			if result == command.Done && writtenIn == c.era {
+				service.revision, service.writtenIn = newRevision, writtenIn
 			}
 			service.state = service.state.WithSaveResult(cmd, result, c.now())
 		}
--- a/io/coordination/constants.go
+++ b/io/coordination/constants.go
@@ -27,6 +27,9 @@
 	// coordinator does not answer.
 	maxCheckers   = 3
 	checkInterval = 500 * time.Millisecond
+	// newEraHeadStart is how long other hosts leave the coordinator's key to the coordinator of the era before, which knows its grants:
+	// it learns of the new era by the next renewal of its lease at the latest, and then needs a few response times of the store.
+	newEraHeadStart = 1200 * time.Millisecond
 	// campaignRetryDelay is the shortest time from the start of a failed campaign to the start of the next one.
 	campaignRetryDelay = 250 * time.Millisecond
 	// reachabilityInterval is the shortest time between two requests to all hosts for their reachability records.
--- a/io/coordination/coordination.go
+++ b/io/coordination/coordination.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"redwingsill/core/directory"
+	"redwingsill/core/era"
 	"redwingsill/core/ownership"
 	"redwingsill/core/rcu"
 	"redwingsill/core/roster"
@@ -66,6 +67,9 @@
 	unreadableRevision int64
 	// checkedAt is when this host last read the coordinator's key because the coordinator did not respond.
 	checkedAt time.Time
+	// era is the newest era of the store that this host has acted on, and eraHosts are the hosts that it knew when it did.
+	era      era.Era
+	eraHosts []string
 	// writeCount is the number of write IDs given out. It makes each ID unique.
 	writeCount int
 }
@@ -167,6 +171,7 @@
 // step updates the tenure and the ownership of all sharded services, and publishes the owners.
 func (c *Coordination) step() {
 	now := c.now()
+	c.updateEra(now)
 	c.updateTenure(now)
 	c.loadNewServices(now)
 	c.updateElectorate(now)
@@ -190,8 +195,12 @@
 func (c *Coordination) startCall(call func(ctx context.Context) func()) {
 	c.group.Go(func(ctx context.Context) {
 		apply := call(ctx)
+		result := func() {
+			c.updateEra(c.now()) // the answer may be the first of a new era
+			apply()
+		}
 		select {
-		case c.results <- apply:
+		case c.results <- result:
 		case <-ctx.Done():
 		}
 	})
--- a/io/coordination/electorate.go
+++ b/io/coordination/electorate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingsill/core/command"
+	"redwingsill/core/era"
 	"redwingsill/core/transaction"
 	"redwingsill/io/registry"
 	"redwingsill/io/task"
@@ -29,6 +30,10 @@
 				return
 			}
 			c.tenure.isElectorateRead, c.tenure.electorateRevision = true, r.Revision
+			if e := era.Of(revision); e > 0 && registry.EraOf(r.Value) != e {
+				c.tenure.electorate = c.tenure.electorate.WithOlder(c.olderSets(r))
+				return
+			}
 			if r.Revision == 0 {
 				return
 			}
@@ -60,7 +65,7 @@
 		return
 	}
 	writeID, revision := c.nextWriteID(), c.tenure.revision
-	value, err := registry.EncodeElectorate(hosts, e.EarlierBeside(hosts), writeID)
+	value, err := registry.EncodeElectorate(hosts, e.EarlierBeside(hosts), writeID, era.Of(revision))
 	if err != nil {
 		c.log.Error("electorate not encoded", "Error", err)
 		return
--- a/io/coordination/electorate_test.go
+++ b/io/coordination/electorate_test.go
@@ -99,7 +99,7 @@
 func storeWith(t *testing.T, hosts []string, earlier ...[]string) *storeStub {
 	t.Helper()
 	store := newStoreStub()
-	value, err := registry.EncodeElectorate(hosts, earlier, "earlier")
+	value, err := registry.EncodeElectorate(hosts, earlier, "earlier", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -214,7 +214,7 @@
 func TestHostsThatAnotherCoordinatorHasStoredAreNotReplaced(t *testing.T) {
 	r := newElectorateRun(t, storeWith(t, []string{"x", "y"}), 7)
 	r.elect()
-	value, err := registry.EncodeElectorate([]string{"u"}, nil, "other")
+	value, err := registry.EncodeElectorate([]string{"u"}, nil, "other", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/io/coordination/era_test.go
@@ -0,0 +1,306 @@
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"net/netip"
+	"testing"
+	"time"
+
+	"redwingsill/core/backendservice"
+	"redwingsill/core/command"
+	"redwingsill/core/directory"
+	"redwingsill/core/era"
+	"redwingsill/core/holding"
+	"redwingsill/core/instance"
+	"redwingsill/core/keymap"
+	"redwingsill/core/keyrange"
+	"redwingsill/core/kind"
+	"redwingsill/core/rcu"
+	"redwingsill/core/reachability"
+	"redwingsill/core/record"
+	"redwingsill/core/roster"
+	"redwingsill/core/routing"
+	"redwingsill/core/transaction"
+	"redwingsill/io/registry"
+	"redwingsill/io/slotserver"
+	"redwingsill/io/task"
+)
+
+// eraRun is one host's coordination over a store in memory that may return to a copy. The calls of a step end before the next one.
+type eraRun struct {
+	*harness
+	store  *storeStub
+	hosts  *rcu.Value[directory.Directory]
+	copied map[string]record.Record
+	// copiedAt is the revision of the copy. grants are those sent since the last look.
+	copiedAt int64
+	grants   []command.Grant
+	reports  map[string]reachability.Reachability
+}
+
+func newEraRun(t *testing.T) *eraRun {
+	run := &eraRun{harness: &harness{clock: rcu.New(testStart)}, store: newStoreStub(), reports: map[string]reachability.Reachability{}}
+	log, now := slog.New(slog.DiscardHandler), run.clock.Load
+	run.hosts = rcu.New(directory.Directory{}.With("edge-1", netip.MustParseAddrPort("127.0.0.1:1"), "a", 1))
+	routes := rcu.New(routing.Routing{Version: 1, Services: map[string]backendservice.BackendService{"s": {IsSharded: true}}})
+	run.Coordination = New("edge-1", "1", testTiming, run.store, run, registry.New(run.hosts, func() {}, log), run.hosts,
+		rcu.New(roster.New().With(testServer)), routes, slotserver.New(now), run, run, now, log, make(chan struct{}, 1))
+	run.group, _ = task.New(t.Context())
+	run.registry.Apply(nil, 1, true)
+	return run
+}
+
+// Grant implements Servers. Calls run in other goroutines, one after the other for one server.
+func (r *eraRun) Grant(_ context.Context, g command.Grant) command.Answer {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	r.grants = append(r.grants, g)
+	return command.Answer{Result: command.Done}
+}
+
+// Reachabilities implements Peers.
+func (r *eraRun) Reachabilities() map[string]reachability.Reachability { return r.reports }
+
+// run steps for a time, with the results of the calls, and returns the grants that were sent meanwhile.
+func (r *eraRun) run(d time.Duration) []command.Grant {
+	r.grants = nil
+	for end := r.clock.Load().Add(d); r.clock.Load().Before(end); r.advance(50 * time.Millisecond) {
+		r.step()
+		for idle := time.After(3 * time.Millisecond); idle != nil; {
+			select {
+			case apply := <-r.results:
+				apply()
+				idle = time.After(3 * time.Millisecond)
+			case <-idle:
+				idle = nil
+			}
+		}
+	}
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	return r.grants
+}
+
+// copyStore copies the store.
+func (r *eraRun) copyStore() {
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	r.copied, r.copiedAt = maps.Clone(r.store.records), r.store.revision
+}
+
+// watch passes the coordinator's key to the registry, as a watch does.
+func (r *eraRun) watch() {
+	key, _ := r.store.Get(context.Background(), registry.CoordinatorKey)
+	if key.Revision > 0 {
+		r.registry.Apply([]record.Record{key}, key.Revision, false)
+	}
+}
+
+// stored returns the owners in the store, the reserved token and the era in which they were written.
+func (r *eraRun) stored(t *testing.T) (keymap.Map, int64, era.Era) {
+	t.Helper()
+	value, _ := r.store.Get(context.Background(), registry.OwnersKey("s"))
+	keys, fence, err := registry.DecodeOwners(value.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return keys, fence, registry.EraOf(value.Value)
+}
+
+// newServedRun returns a coordinator that has granted all keys to the server and has no inherited grants, and whose store was copied
+// before it wrote that map.
+func newServedRun(t *testing.T) *eraRun {
+	r := newEraRun(t)
+	r.copyStore()
+	r.run(time.Second)
+	r.watch()
+	r.copied[registry.CoordinatorKey] = r.store.records[registry.CoordinatorKey]
+	if len(r.run(4*time.Second)) == 0 {
+		t.Fatal("no keys are granted before the return")
+	}
+	return r
+}
+
+// The coordinator's keys would not be served until all holds have ended, if it forgot what it granted.
+func TestCoordinatorWithALeaseGoesOnInTheNextEra(t *testing.T) {
+	r := newServedRun(t)
+	before, fenceBefore, _ := r.stored(t)
+	r.store.returnTo(r.copied, r.copiedAt)
+	grants := r.run(1200 * time.Millisecond)
+	if !r.tenure.isCoordinator || era.Of(r.tenure.revision) != 1 || len(grants) == 0 {
+		t.Fatalf("tenure %+v after the return, and %d grants; want another term and renewals", r.tenure, len(grants))
+	}
+	for _, g := range grants {
+		if h, _ := before.HoldingOf(g.Range.From); h.Fence != g.Fence {
+			t.Errorf("the grant %+v has another token than the %d before", g, h.Fence)
+		}
+	}
+	after, fence, written := r.stored(t)
+	if len(after.Holdings()) != len(before.Holdings()) || after.Holdings()[0] != before.Holdings()[0] || written != 1 || fence < fenceBefore+1<<32 {
+		t.Errorf("stored %v with the reserved token %d in era %d; want %v, a token raised above %d, and era 1", after.Holdings(), fence, written,
+			before.Holdings(), fenceBefore)
+	}
+}
+
+// Two returns in a row: the first one was not over for the coordinator when the next came.
+func TestCoordinatorGoesOnAfterTwoEras(t *testing.T) {
+	r := newServedRun(t)
+	_, fenceBefore, _ := r.stored(t)
+	r.store.failingCommits = 1000
+	r.store.returnTo(r.copied, r.copiedAt)
+	r.run(300 * time.Millisecond)
+	r.store.failingCommits = 0
+	r.store.returnTo(r.copied, r.copiedAt)
+	r.run(1200 * time.Millisecond)
+	if _, fence, written := r.stored(t); !r.tenure.isCoordinator || written != 2 || fence < fenceBefore+2<<32 {
+		t.Errorf("the reserved token is %d in era %d, coordinator %v; want one raised twice above %d", fence, written, r.tenure.isCoordinator, fenceBefore)
+	}
+}
+
+// A coordinator whose lease had ended can't know whether another one has moved keys before the return.
+func TestCoordinatorWithoutALeaseForgetsItsGrantsInTheNextEra(t *testing.T) {
+	r := newServedRun(t)
+	r.advance(testTiming.LeaseDuration)
+	r.store.returnTo(r.copied, r.copiedAt)
+	if grants := r.run(time.Second); len(grants) > 0 || r.tenure.isCoordinator {
+		t.Errorf("%d grants, coordinator %v; want none, and that others may campaign first", len(grants), r.tenure.isCoordinator)
+	}
+	if grants := r.run(testTiming.LongestInheritance() - time.Second); len(grants) > 0 || !r.tenure.isCoordinator {
+		t.Errorf("%d grants while earlier ones may be in force, coordinator %v", len(grants), r.tenure.isCoordinator)
+	}
+}
+
+// The owner in the copied map may have released its keys to another server.
+func TestMapOfAnEarlierEraIsUsedOnlyAfterAllHolds(t *testing.T) {
+	r := newEraRun(t)
+	keys := keymap.New(holding.Holding{Range: keyrange.All(), Owner: testServer.Incarnation(), Fence: 7})
+	value, err := registry.EncodeOwners(keys, 9, "w", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.store.put(registry.OwnersKey("s"), value)
+	r.copyStore()
+	r.store.returnTo(r.copied, r.copiedAt)
+	r.run(newEraHeadStart - 50*time.Millisecond)
+	if r.tenure.isCoordinator {
+		t.Fatal("elected before the coordinator of the era before could be")
+	}
+	r.run(500 * time.Millisecond)
+	elected := r.tenure.electedAt
+	if !r.tenure.isCoordinator {
+		t.Fatal("not elected")
+	}
+	report := func() {
+		r.reports = map[string]reachability.Reachability{"edge-1": reachability.Reachability{ReachableSince: testStart.Add(-time.Minute), LastAnswer: r.clock.Load(),
+			CoordinatorRevision: r.tenure.revision}.WithReportedAt(r.clock.Load())}
+	}
+	report()
+	if grants := r.run(elected.Add(6500 * time.Millisecond).Sub(r.clock.Load())); len(grants) > 0 {
+		t.Errorf("%d grants, the first one for %v, before the holds have ended", len(grants), grants[0].Range)
+	}
+	if _, _, written := r.stored(t); written != 0 {
+		t.Error("the map is marked as current before the holds have ended: a successor would use it")
+	}
+	grants := r.run(time.Second)
+	if len(grants) == 0 || grants[0].Fence <= 9+1<<32 {
+		t.Errorf("the grants %v after the holds have ended; want new tokens", grants)
+	}
+	if _, _, written := r.stored(t); written != 1 {
+		t.Errorf("the map is of era %d", written)
+	}
+	r.run(5 * time.Second)
+	if n := r.store.commits[registry.ElectorateKey]; n > 0 {
+		t.Error("a set of hosts is stored beside those that were lost; a successor would count on it alone")
+	}
+}
+
+// The key of a coordinator that is gone may be in the copy without a lease, and would stay for ever.
+func TestCopiedKeyOfTheCoordinatorIsReplaced(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		era  era.Era
+		want bool
+	}{{"of the era before", 0, true}, {"of this era", 1, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newEraRun(t)
+			value, err := registry.EncodeCoordinator("edge-2", "w", c.era)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.store.put(registry.CoordinatorKey, value)
+			r.copyStore()
+			r.store.returnTo(r.copied, r.copiedAt)
+			r.watch()
+			r.run(newEraHeadStart + 500*time.Millisecond)
+			if r.tenure.isCoordinator != c.want {
+				t.Errorf("coordinator %v, want %v", r.tenure.isCoordinator, c.want)
+			}
+		})
+	}
+}
+
+// The owners may be read from the copy by a coordinator of the era before.
+func TestOwnersReadFromACopyAreNotKnownGrants(t *testing.T) {
+	r := newEraRun(t)
+	keys := keymap.New(holding.Holding{Range: keyrange.All(), Owner: testServer.Incarnation(), Fence: 7})
+	value, err := registry.EncodeOwners(keys, 9, "w", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.store.put(registry.OwnersKey("s"), value)
+	r.copyStore()
+	r.tenure = tenure{isCoordinator: true, leaseID: 1, revision: 5, leaseEnd: testStart.Add(testTiming.LeaseDuration), renewedAt: testStart}
+	r.store.returnTo(r.copied, r.copiedAt)
+	r.loadNewServices(testStart)
+	service := r.services["s"]
+	r.apply()
+	if service.isLoaded || r.services["s"] != nil {
+		t.Error("the owners in the copy count as known")
+	}
+}
+
+// A host that learns late may ask others before its own call to the store is answered.
+func TestHostLearnsOfTheEraFromReports(t *testing.T) {
+	h := newHarness(t)
+	service := newTestService(testStart)
+	service.state = service.state.WithMembers([]instance.Instance{testServer}, testStart).WithLease(testStart.Add(testTiming.LeaseDuration))
+	h.services["s"] = service
+	h.tenure = tenure{isCoordinator: true, leaseID: 1, revision: 5, leaseEnd: testStart.Add(testTiming.LeaseDuration), renewedAt: testStart}
+	h.peers = peersStub{"edge-2": {CoordinatorRevision: era.Era(1).Start()}}
+	h.advance(testTiming.LeaseDuration/2 + time.Millisecond)
+	h.checkStoreReachability(h.clock.Load())
+	if h.tenure.isCoordinator || h.era != 1 || h.services["s"] != service || !service.state.IsMapLost() {
+		t.Errorf("tenure %+v, era %d; want no tenure, era 1 and the known grants", h.tenure, h.era)
+	}
+}
+
+// eraCommits answers each write with Unknown, and then finds the value in a copy of the next era.
+type eraCommits struct {
+	*storeStub
+	value []byte
+}
+
+func (s eraCommits) Commit(context.Context, transaction.Transaction) (int64, error) {
+	return 0, storeError(kind.Conflict)
+}
+
+func (s eraCommits) Get(context.Context, string) (record.Record, error) {
+	return record.Record{Value: s.value, Revision: era.Era(1).Position(7)}, nil
+}
+
+// A grant must not follow from a write that took effect in another era than that of its conditions.
+func TestWriteFoundInAnotherEraIsNotDone(t *testing.T) {
+	r := newEraRun(t)
+	value, err := registry.EncodeOwners(keymap.New(), 9, "w", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Coordination.store = eraCommits{r.store, value}
+	for expected, want := range map[int64]command.Result{7: command.Stale, era.Era(1).Position(5): command.Done} {
+		if got, _ := r.tryWrite(t.Context(), "k", "w", transaction.Transaction{}.WithExpected("k", expected)); got != want {
+			t.Errorf("a write of era %d: %v, want %v", era.Of(expected), got, want)
+		}
+	}
+}
--- a/io/coordination/harness_test.go
+++ b/io/coordination/harness_test.go
@@ -9,6 +9,7 @@
 
 	"redwingsill/core/command"
 	"redwingsill/core/directory"
+	"redwingsill/core/era"
 	"redwingsill/core/instance"
 	"redwingsill/core/ownership"
 	"redwingsill/core/ownershipevent"
@@ -42,6 +43,8 @@
 	// owners is the record of each service's owners, and revokeErr the answer to the call that ends a lease.
 	owners    *rcu.Value[record.Record]
 	revokeErr error
+	// storeEra is the era of the store.
+	storeEra era.Era
 	// onGrant answers a grant.
 	onGrant func(command.Grant) command.Answer
 }
@@ -101,6 +104,12 @@
 // RevokeLease implements Store.
 func (h *harness) RevokeLease(context.Context, int64) error { return h.revokeErr }
 
+// Era implements Store.
+func (h *harness) Era() era.Era { return h.storeEra }
+
+// ObserveEra implements Store.
+func (h *harness) ObserveEra(seen era.Era) { h.storeEra = max(h.storeEra, seen) }
+
 // Grant implements Servers.
 func (h *harness) Grant(_ context.Context, g command.Grant) command.Answer { return h.onGrant(g) }
 
--- a/io/coordination/services.go
+++ b/io/coordination/services.go
@@ -27,8 +27,8 @@
 	if !service.isLoaded {
 		return
 	}
-	if !service.state.IsActing(now) || !c.tenure.isCoordinator && c.registry.CoordinatorRevision() != 0 &&
-		c.registry.CoordinatorRevision() != c.tenure.revision {
+	current, _ := c.coordinatorRevision()
+	if !service.state.IsActing(now) || !c.tenure.isCoordinator && current != 0 && current != c.tenure.revision {
 		c.log.Info("ownership dropped", "Service", name, "Deposed", service.state.IsDeposed())
 		delete(c.services, name)
 		return
--- a/io/coordination/shardedservice.go
+++ b/io/coordination/shardedservice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingsill/core/command"
+	"redwingsill/core/era"
 	"redwingsill/core/instance"
 	"redwingsill/core/ownership"
 )
@@ -20,6 +21,8 @@
 	isStoreReachableSinceKnown bool
 	// revision is the last known revision of the owners' key. The next write is conditional on it.
 	revision int64
+	// writtenIn is the era of the store by which the tokens of the state are raised.
+	writtenIn era.Era
 	// members has the service's backend servers as of the last step.
 	members []instance.Instance
 	// completions has the results of the grants that have completed since the last step.
--- a/io/coordination/store.go
+++ b/io/coordination/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"redwingsill/core/era"
 	"redwingsill/core/record"
 	"redwingsill/core/transaction"
 )
@@ -21,4 +22,8 @@
 	RenewLease(ctx context.Context, leaseID int64) error
 	// RevokeLease revokes a lease and removes its keys.
 	RevokeLease(ctx context.Context, leaseID int64) error
+	// Era returns the newest known era of the store. Revisions and lease IDs are positions in it; see [era.Era.Position].
+	Era() era.Era
+	// ObserveEra records an era of the store that another host has told.
+	ObserveEra(seen era.Era)
 }
--- a/io/coordination/storestub_test.go
+++ b/io/coordination/storestub_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"redwingsill/core/era"
 	"redwingsill/core/kind"
 	"redwingsill/core/record"
 	"redwingsill/core/transaction"
@@ -15,6 +16,7 @@
 	mu       sync.Mutex
 	records  map[string]record.Record
 	revision int64
+	era      era.Era
 	// gets and commits count the calls by key, commits by the key that is put.
 	gets, commits map[string]int
 	// failingGets and failingCommits are the numbers of calls that fail without an effect, and lostAnswers the number of commits
@@ -31,8 +33,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.records[key] = record.Record{Key: key, Value: value, Revision: s.revision}
-	return s.revision
+	s.records[key] = record.Record{Key: key, Value: value, Revision: s.era.Position(s.revision)}
+	return s.era.Position(s.revision)
 }
 
 // Get implements Store.
@@ -65,19 +67,31 @@
 	}
 	s.revision++
 	for _, r := range t.Puts {
-		r.Revision = s.revision
+		r.Revision = s.era.Position(s.revision)
 		s.records[r.Key] = r
 	}
 	if s.lostAnswers > 0 {
 		s.lostAnswers--
 		return 0, storeError(kind.Unknown)
 	}
-	return s.revision, nil
+	return s.era.Position(s.revision), nil
+}
+
+// returnTo replaces the contents by those of a copy, and starts the next era.
+func (s *storeStub) returnTo(records map[string]record.Record, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.records = revision, map[string]record.Record{}
+	for key, r := range records {
+		r.Revision = s.era.Position(era.Revision(r.Revision))
+		s.records[key] = r
+	}
 }
 
 // CreateLease implements Store.
 func (s *storeStub) CreateLease(_ context.Context, d time.Duration) (int64, time.Duration, error) {
-	return 1, d, nil
+	return s.Era().Position(1), d, nil
 }
 
 // RenewLease implements Store.
@@ -85,3 +99,13 @@
 
 // RevokeLease implements Store.
 func (s *storeStub) RevokeLease(context.Context, int64) error { return nil }
+
+// Era implements Store.
+func (s *storeStub) Era() era.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// ObserveEra implements Store.
+func (s *storeStub) ObserveEra(era.Era) {}
--- a/io/coordination/tenure.go
+++ b/io/coordination/tenure.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"redwingsill/core/electorate"
+	"redwingsill/core/era"
 	"redwingsill/core/kind"
 	"redwingsill/core/transaction"
 	"redwingsill/io/registry"
@@ -39,7 +41,7 @@
 // other hosts it campaigns when there is no coordinator, and reads the coordinator's key when the coordinator does not
 // respond.
 func (c *Coordination) updateTenure(now time.Time) {
-	currentRevision := c.registry.CoordinatorRevision()
+	currentRevision, replacedRevision := c.coordinatorRevision()
 	switch {
 	case c.tenure.isCoordinator && currentRevision > c.tenure.revision:
 		c.stepDown(currentRevision)
@@ -79,8 +81,8 @@
 		if c.vacantSince.IsZero() {
 			c.vacantSince = now
 		}
-		if now.Sub(c.vacantSince) >= c.campaignDelay() {
-			c.campaign(now, 0)
+		if now.Sub(c.vacantSince) >= c.vacancyDelay() {
+			c.campaign(now, replacedRevision)
 		}
 	}
 }
@@ -166,7 +168,7 @@
 		if err != nil {
 			return func() { c.campaignFailed("lease", err) }
 		}
-		value, err := registry.EncodeCoordinator(c.hostName, writeID)
+		value, err := registry.EncodeCoordinator(c.hostName, writeID, era.Of(leaseID))
 		if err != nil {
 			return func() { c.campaignFailed("encode", err) }
 		}
@@ -174,7 +176,7 @@
 			WithPut(registry.CoordinatorKey, value, leaseID))
 		if err != nil && !kind.Is(err, kind.Conflict) {
 			// The response may be lost although the write took effect; the key's write ID shows that.
-			if r, readErr := c.store.Get(ctx, registry.CoordinatorKey); readErr == nil && registry.WriteIDOf(r.Value) == writeID {
+			if r, readErr := c.store.Get(ctx, registry.CoordinatorKey); readErr == nil && registry.WriteIDOf(r.Value) == writeID && era.Of(r.Revision) == era.Of(leaseID) {
 				revision, err = r.Revision, nil
 			}
 		}
@@ -184,7 +186,14 @@
 			}
 			return func() { c.campaignFailed("commit", err) }
 		}
-		return func() { c.startTenure(leaseID, revision, startedAt, duration) }
+		return func() {
+			if era.Of(revision) != c.store.Era() {
+				c.campaignFailed("commit", errors.New("the store has come back from an older copy since"))
+				return
+			}
+			c.updateEra(c.now())
+			c.startTenure(leaseID, revision, startedAt, duration)
+		}
 	})
 }
 
@@ -192,6 +201,9 @@
 func (c *Coordination) campaignFailed(call string, err error) {
 	c.tenure.isCampaigning = false
 	c.log.Info("not elected", "Call", call, "Error", err)
+	if c.era > 0 && kind.Is(err, kind.Conflict) {
+		c.checkCoordinator(c.now()) // the key in the copy may not be known yet
+	}
 }
 
 // startTenure makes this host the coordinator, and resumes the ownership of services that it still has loaded. The
@@ -208,6 +220,10 @@
 			delete(c.services, name)
 			continue
 		}
+		if service.state.IsMapLost() {
+			c.rewriteOwnership(name, service)
+			continue
+		}
 		c.resumeOwnership(name, service)
 	}
 }
--- a/io/coordination/unreachable.go
+++ b/io/coordination/unreachable.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"redwingsill/core/era"
 )
 
 // checkStoreReachability asks all hosts for their reachability records in two cases: while less than half of this
@@ -18,8 +20,9 @@
 		c.isStoreUnreachable = false
 		return
 	}
-	if c.tenure.revision == 0 {
-		return // this host has never been elected
+	if c.tenure.revision == 0 || era.Of(c.tenure.revision) != c.era {
+		c.isStoreUnreachable = false
+		return // this host has never been elected, or not in this era
 	}
 	if now.Sub(c.reachabilityRequestedAt) >= reachabilityInterval {
 		c.reachabilityRequestedAt = now
@@ -27,6 +30,11 @@
 	}
 	records, electorate := c.peers.Reachabilities(), c.tenure.electorate
 	for _, r := range records {
+		if told := era.Of(r.CoordinatorRevision); told > c.era {
+			c.store.ObserveEra(told)
+			c.updateEra(now)
+			return
+		}
 		if r.CoordinatorRevision > c.tenure.revision {
 			c.stepDown(r.CoordinatorRevision)
 			clear(c.services)
--- a/io/coordination/write.go
+++ b/io/coordination/write.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"redwingsill/core/command"
+	"redwingsill/core/era"
 	"redwingsill/core/kind"
 	"redwingsill/core/transaction"
 	"redwingsill/io/registry"
@@ -38,7 +39,19 @@
 	case err != nil:
 		return command.Lost, 0
 	case registry.WriteIDOf(r.Value) == writeID:
+		if era.Of(r.Revision) != expectedEra(t) {
+			return command.Stale, 0 // written in another era than that of the conditions, or read from a copy: it may be lost, or undo a later write
+		}
 		return command.Done, r.Revision
 	}
 	return command.Stale, 0
 }
+
+// expectedEra returns the era of the conditions of a transaction, which has at least one.
+func expectedEra(t transaction.Transaction) era.Era {
+	newest := int64(0)
+	for _, revision := range t.Expected {
+		newest = max(newest, revision)
+	}
+	return era.Of(newest)
+}
--- a/io/registry/electorate_test.go
+++ b/io/registry/electorate_test.go
@@ -33,7 +33,7 @@
 
 func TestSavedSetsOfHostsAreRead(t *testing.T) {
 	for _, want := range [][][]string{{{"a"}}, {{"a", "b"}, {"c"}, {"a", "d"}}} {
-		value, err := registry.EncodeElectorate(want[0], want[1:], "w")
+		value, err := registry.EncodeElectorate(want[0], want[1:], "w", 0)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/io/registry/electoratedocument.go
+++ b/io/registry/electoratedocument.go
@@ -1,6 +1,10 @@
 package registry
 
-import "fmt"
+import (
+	"fmt"
+
+	"redwingsill/core/era"
+)
 
 // electorateDocument is the stored value that holds the sets of hosts by whose reports coordinators find the store
 // unreachable.
@@ -11,6 +15,8 @@
 	Earlier [][]string
 	// WriteID differs between writes. It shows whether a write without a response took effect.
 	WriteID string `json:"Mark"`
+	// Era is the era of the store in which the value was written.
+	Era era.Era `json:",omitempty"`
 }
 
 // check checks the sets that a coordinator relies on. A set without hosts or with a host twice would be counted wrongly.
--- a/io/registry/ownersdocument.go
+++ b/io/registry/ownersdocument.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"redwingsill/core/era"
 	"redwingsill/core/holding"
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
@@ -19,6 +20,8 @@
 	Fence int64
 	// WriteID differs between writes. It shows whether a write without a response took effect.
 	WriteID string `json:"Mark"`
+	// Era is the era of the store in which the owners were written. In a later one they may be older than the grants.
+	Era era.Era `json:",omitempty"`
 }
 
 // owners returns the owner and the fencing token of each key range.
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"redwingsill/core/directory"
+	"redwingsill/core/era"
 	"redwingsill/core/keymap"
 	"redwingsill/core/rcu"
 	"redwingsill/core/record"
@@ -60,15 +61,16 @@
 	return json.Marshal(hostDocument{Address: address, DataCentre: dataCentre, Capacity: capacity})
 }
 
-// EncodeCoordinator returns the value of the coordinator's key. The write ID must differ between campaigns.
-func EncodeCoordinator(name, writeID string) ([]byte, error) {
-	return json.Marshal(coordinatorDocument{Name: name, WriteID: writeID})
+// EncodeCoordinator returns the value of the coordinator's key, to be written in an era of the store. The write ID must differ between
+// campaigns.
+func EncodeCoordinator(name, writeID string, e era.Era) ([]byte, error) {
+	return json.Marshal(coordinatorDocument{Name: name, WriteID: writeID, Era: e})
 }
 
 // EncodeElectorate returns the value of the electorate's key: the coordinator's set of hosts, and those of earlier
 // coordinators.
-func EncodeElectorate(hosts []string, earlier [][]string, writeID string) ([]byte, error) {
-	return json.Marshal(electorateDocument{Hosts: hosts, Earlier: earlier, WriteID: writeID})
+func EncodeElectorate(hosts []string, earlier [][]string, writeID string, e era.Era) ([]byte, error) {
+	return json.Marshal(electorateDocument{Hosts: hosts, Earlier: earlier, WriteID: writeID, Era: e})
 }
 
 // DecodeElectorate returns the sets of hosts in a value, that of the coordinator that wrote it first. It is an error if no
@@ -95,10 +97,20 @@
 	return d.WriteID
 }
 
+// EraOf returns the era in which a value of the coordinator's key, of an owners' key or of the electorate's key was written, or 0 if it
+// names none.
+func EraOf(value []byte) era.Era {
+	var d struct{ Era era.Era }
+	if json.Unmarshal(value, &d) != nil {
+		return 0 // not a value that an entry host has written
+	}
+	return d.Era
+}
+
 // EncodeOwners returns the value of the key of a service's owners. The fence is the highest reserved fencing token, at
 // least as high as every one in use.
-func EncodeOwners(m keymap.Map, fence int64, writeID string) ([]byte, error) {
-	return json.Marshal(ownersDocument{Holdings: holdingDocuments(m), Fence: fence, WriteID: writeID})
+func EncodeOwners(m keymap.Map, fence int64, writeID string, e era.Era) ([]byte, error) {
+	return json.Marshal(ownersDocument{Holdings: holdingDocuments(m), Fence: fence, WriteID: writeID, Era: e})
 }
 
 // DecodeOwners returns the owners in a value, and the highest reserved fencing token, which is at least as high as
@@ -207,6 +219,9 @@
 // CoordinatorRevision returns the last known revision of the coordinator's key, or 0 if there is no coordinator.
 func (r *Registry) CoordinatorRevision() int64 { return r.coordinator.Read().Revision }
 
+// CoordinatorEra returns the era in which the last known value of the coordinator's key was written.
+func (r *Registry) CoordinatorEra() era.Era { return EraOf(r.coordinator.Read().Value) }
+
 // HasSynced reports whether all entries have been read once.
 func (r *Registry) HasSynced() bool { return r.hasSynced.Load() }
 
--- a/io/registry/unreadable_test.go
+++ b/io/registry/unreadable_test.go
@@ -48,7 +48,7 @@
 func TestSavedOwnersAreRead(t *testing.T) {
 	holdings := []holding.Holding{{Range: keyrange.Range{From: 0, To: 4}, Owner: "a@1", Fence: 7}, {Range: keyrange.Range{From: 5, To: keyrange.MaxKey}, Owner: "b@0", Fence: 3}}
 	for _, want := range []keymap.Map{keymap.New(), keymap.New(holdings...)} {
-		value, err := registry.EncodeOwners(want, 1<<40, "w")
+		value, err := registry.EncodeOwners(want, 1<<40, "w", 0)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -100,7 +100,7 @@
 func TestAnUnreadableCoordinatorIsNoneAndKeepsItsRevision(t *testing.T) {
 	hosts := rcu.New(directory.Directory{})
 	r := registry.New(hosts, func() {}, slog.New(slog.DiscardHandler))
-	sound, err := registry.EncodeCoordinator("h1", "w")
+	sound, err := registry.EncodeCoordinator("h1", "w", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
