--- a/io/coordination/era.go
+++ b/io/coordination/era.go
@@ -45,6 +45,10 @@
 	if kept == 0 && c.registry.HasSynced() {
 		c.vacantSince = now.Add(newEraHeadStart)
 	}
+	if !c.registry.HasSynced() {
+		c.log.Info("era of the store", "Era", int64(newest))
+		return
+	}
 	c.log.Warn("store came back from an older copy", "Era", int64(newest), "Before", int64(previous), "ServicesKnown", kept)
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -14,7 +14,6 @@
 	"redwingsill/core/rcu"
 	"redwingsill/core/reachability"
 	"redwingsill/core/update"
-	"redwingsill/io/watch"
 )
 
 // Relay reads the entries of the store for one host, through a relaying host or directly. It implements
@@ -23,7 +22,7 @@
 type Relay struct {
 	name       string
 	dataCentre string
-	store      watch.Store
+	store      Store
 	peers      Peers
 	directory  *rcu.Value[directory.Directory]
 	now        func() time.Time
@@ -44,7 +43,7 @@
 
 // New returns the relay of a host in a data centre for the prefixes in batchDelays, which maps each prefix to the time
 // for which changes under it are batched before the store is read again.
-func New(name, dataCentre string, batchDelays map[string]time.Duration, s watch.Store, peers Peers,
+func New(name, dataCentre string, batchDelays map[string]time.Duration, s Store, peers Peers,
 	hosts *rcu.Value[directory.Directory], now func() time.Time, log *slog.Logger) *Relay {
 	r := &Relay{name: name, dataCentre: dataCentre, store: s, peers: peers, directory: hosts, now: now, log: log,
 		replicas: map[string]*rcu.Value[replica]{}, batchDelays: batchDelays, startedAt: now(), delegation: rcu.New(newDelegation()),
--- a/io/relay/source.go
+++ b/io/relay/source.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"redwingsill/core/era"
 	"redwingsill/core/kind"
 	"redwingsill/core/update"
 )
@@ -23,6 +24,7 @@
 // Changes implements [redwingsill/io/updates.Source].
 func (r *Relay) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (update.Update, error) {
 	r.recordRequest()
+	r.store.ObserveEra(era.Of(after)) // the other host may know a newer one
 	current, err := r.awaitFresh(ctx, prefix)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -76,7 +78,7 @@
 	for {
 		current := shared.Load()
 		now := r.now()
-		if current.isFresh(now) {
+		if current.isFresh(now) && era.Of(current.cache.Revision()) >= r.store.Era() {
 			return current, nil
 		}
 		if current.hasFailed(now) {
--- a/io/relay/store_test.go
+++ b/io/relay/store_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"redwingsill/core/era"
 	"redwingsill/core/failure"
 	"redwingsill/core/kind"
 	"redwingsill/core/record"
@@ -15,6 +17,7 @@
 type store struct {
 	mu       sync.Mutex
 	revision int64
+	era      era.Era
 	items    map[string]record.Record
 	changed  chan struct{}
 	counts   map[string]int
@@ -30,9 +33,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.items[key] = record.Record{Key: key, Revision: s.revision}
+	s.items[key] = record.Record{Key: key, Revision: s.era.Position(s.revision)}
 	s.notify()
-	return s.revision
+	return s.era.Position(s.revision)
 }
 
 // notify wakes the watches.
@@ -71,10 +74,35 @@
 // viewOf returns the store as seen by one host.
 func (s *store) viewOf(host string) *view { return &view{store: s, host: host} }
 
-// view is the store as seen by one host. It implements watch.Store.
+// view is the store as seen by one host. It implements relay.Store.
 type view struct {
 	store *store
 	host  string
+	// era is the newest era that the host knows.
+	era atomic.Int64
+}
+
+// returnToCopy removes a key, as it was written after the copy, and starts the next era with a lower revision.
+func (s *store) returnToCopy(lost string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision--
+	delete(s.items, lost)
+	for key, r := range s.items {
+		r.Revision = s.era.Position(era.Revision(r.Revision))
+		s.items[key] = r
+	}
+	s.notify()
+}
+
+// Era implements relay.Store.
+func (v *view) Era() era.Era { return era.Era(v.era.Load()) }
+
+// ObserveEra implements relay.Store.
+func (v *view) ObserveEra(seen era.Era) {
+	for known := v.era.Load(); int64(seen) > known && !v.era.CompareAndSwap(known, int64(seen)); known = v.era.Load() {
+	}
 }
 
 // read returns the entries that changed after a revision, the store's revision, and a channel that is closed at the
@@ -85,13 +113,17 @@
 	if v.store.down[v.host] {
 		return nil, 0, nil, failure.New("read", kind.Unavailable, errors.New("the store is down for this host"))
 	}
+	v.ObserveEra(v.store.era)
+	if after != 0 && era.Of(after) < v.store.era {
+		return nil, 0, nil, failure.New("read", kind.NotFound, errors.New("the revision is of another era"))
+	}
 	var found []record.Record
 	for _, r := range v.store.items {
 		if r.Revision > after {
 			found = append(found, r)
 		}
 	}
-	return found, v.store.revision, v.store.changed, nil
+	return found, v.store.era.Position(v.store.revision), v.store.changed, nil
 }
 
 func (v *view) count() {
--- a/io/relay/watchstore.go
+++ b/io/relay/watchstore.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"redwingsill/core/era"
 	"redwingsill/core/kind"
 	"redwingsill/core/record"
 	"redwingsill/io/task"
@@ -17,6 +19,9 @@
 			break
 		}
 		relayed, err := r.peers.Entries(ctx, host.address, prefix)
+		if err == nil {
+			err = r.checkEra(relayed.Revision)
+		}
 		if err == nil {
 			r.recordSuccess(host.name)
 			r.updateReplica(prefix, func(current replica) replica {
@@ -44,6 +49,9 @@
 
 // Watch implements [redwingsill/io/watch.Store].
 func (r *Relay) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]record.Record, int64, error) {
+	if era.Of(after) < r.store.Era() {
+		return nil, 0, newError("watch the store", kind.NotFound, errors.New("the store has come back from an older copy"))
+	}
 	for {
 		wasRelaying := r.isRelaying()
 		host, ok := r.selectRelayingHost(prefix)
@@ -51,6 +59,9 @@
 			break
 		}
 		relayed, err := r.awaitChanges(ctx, host.address, prefix, after)
+		if err == nil {
+			err = r.checkEra(relayed.Revision)
+		}
 		switch {
 		case err == nil:
 			r.recordSuccess(host.name)
@@ -88,3 +99,12 @@
 	}
 	return changes, revision, err
 }
+
+// checkEra returns an error if a relaying host's entries, as of the given revision, are of an older era than the newest known one.
+func (r *Relay) checkEra(revision int64) error {
+	r.store.ObserveEra(era.Of(revision))
+	if era.Of(revision) < r.store.Era() {
+		return newError("read from a relaying host", kind.Unavailable, errors.New("its entries are of an older era of the store"))
+	}
+	return nil
+}
--- a/io/slotclient/reachability.go
+++ b/io/slotclient/reachability.go
@@ -36,6 +36,9 @@
 	return c.reachability().WithCoordinatorRevision(c.coordinatorRevision.Load())
 }
 
+// CoordinatorRevision returns the highest revision of the coordinator's key that other hosts have announced.
+func (c *SlotClient) CoordinatorRevision() int64 { return c.coordinatorRevision.Load() }
+
 // updateCoordinatorRevision raises the highest known revision of the coordinator's key.
 func (c *SlotClient) updateCoordinatorRevision(revision int64) {
 	for {
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"redwingsill/core/era"
 	"redwingsill/core/kind"
 	"redwingsill/core/record"
 	"redwingsill/io/task"
@@ -23,6 +24,9 @@
 	entries map[string]entryState
 	// hasListed is set once a list has succeeded.
 	hasListed bool
+	// era is the era of the last list. missingUntil gives, by key, when an entry of an earlier era that is missing in it is removed.
+	era          era.Era
+	missingUntil map[string]time.Time
 	// isFailing is set from a failed call to the store until the next successful one, and failures is the number of
 	// failures in a row.
 	isFailing bool
@@ -33,7 +37,8 @@
 // miss changes when the store compacts its history; the next call detects that, so wait bounds how long they stay
 // unnoticed.
 func New(prefix string, s Store, wait time.Duration, sink Sink, log *slog.Logger) *Watch {
-	return &Watch{prefix: prefix, store: s, wait: wait, sink: sink, log: log.With("Prefix", prefix), entries: map[string]entryState{}}
+	return &Watch{prefix: prefix, store: s, wait: wait, sink: sink, log: log.With("Prefix", prefix), entries: map[string]entryState{},
+		missingUntil: map[string]time.Time{}}
 }
 
 // Run watches until the context ends.
@@ -58,8 +63,8 @@
 	return err
 }
 
-// list lists all entries and applies them, with a removal for each known entry that is not listed. It returns the
-// revision to watch from.
+// list lists all entries and applies them, with a removal for each known entry that is not listed. After the store has come back
+// from an older copy, such an entry is removed only after a grace. It returns the revision to watch from.
 func (w *Watch) list(ctx context.Context, mayBeStale bool) (int64, error) {
 	records, revision, err := w.store.List(ctx, w.prefix, mayBeStale)
 	if err != nil {
@@ -69,10 +74,16 @@
 	changes := make([]record.Record, 0, len(records))
 	for _, r := range records {
 		listed[r.Key] = true
-		changes = append(changes, r)
+		if !w.entries[r.Key].isRestored(r) {
+			changes = append(changes, r)
+		}
+	}
+	if newest := era.Of(revision); newest > w.era {
+		w.era = newest
+		clear(w.missingUntil)
 	}
 	for key, last := range w.entries {
-		if !listed[key] && !last.isRemoved && last.revision <= revision {
+		if !listed[key] && !last.isRemoved && last.revision <= revision && !w.isAwaited(key, last) {
 			changes = append(changes, record.Record{Key: key, Revision: revision, IsRemoved: true})
 		}
 	}
@@ -92,7 +103,7 @@
 		}
 		return 0, err
 	}
-	w.apply(changes, revision, false)
+	w.apply(append(changes, w.overdueRemovals(max(revision, after))...), revision, false)
 	return max(revision, after), nil
 }
 
@@ -106,9 +117,15 @@
 			continue
 		}
 		newer = append(newer, r)
-		w.entries[r.Key] = entryState{revision: r.Revision, isRemoved: r.IsRemoved}
+		written := r.Revision
+		if r.IsRemoved {
+			written = last.written
+		}
+		w.entries[r.Key] = entryState{revision: r.Revision, isRemoved: r.IsRemoved, written: written}
+		delete(w.missingUntil, r.Key)
 	}
 	if w.isFailing {
+		w.restartGrace()
 		w.isFailing = false
 		w.log.Info("store regained", "Failures", w.failures) // regained: a call succeeded again
 	}
