--- a/io/coordination/era.go
+++ b/io/coordination/era.go
@@ -30,7 +30,7 @@
 	kept := 0
 	for name, service := range c.services {
 		state, isKnown := service.state, false
-		if service.isLoaded && !service.isResuming && !isReplaced {
+		if service.isLoaded && (!service.isResuming || service.state.IsMapLost()) && !isReplaced {
 			service.applyCompletions(now)
 			state, isKnown = service.state.WithLostEra(now)
 		}
@@ -38,7 +38,7 @@
 			delete(c.services, name)
 			continue
 		}
-		service.state, service.isStoreReachableSinceKnown = state, false
+		service.state, service.isResuming, service.isStoreReachableSinceKnown = state, false, false
 		kept++
 	}
 	c.tenure = tenure{revision: c.tenure.revision, isCampaigning: c.tenure.isCampaigning}
@@ -92,6 +92,7 @@
 // unless another coordinator has written it in this era. Until that is known the state has no part in the new lease.
 func (c *Coordination) rewriteOwnership(name string, service *shardedService) {
 	tenureRevision := c.tenure.revision
+	service.isResuming = true
 	c.startCall(func(ctx context.Context) func() {
 		r, err := c.store.Get(ctx, registry.OwnersKey(name))
 		if err != nil {
@@ -110,6 +111,7 @@
 				c.rewriteOwnership(name, service)
 				return
 			}
+			service.isResuming = false
 			service.state = service.state.WithNewEra(current.RaisedFence(0, service.writtenIn), now).WithLease(c.tenure.leaseEnd)
 			service.revision, service.writtenIn, service.isStoreReachableSinceKnown = r.Revision, current, false
 			c.log.Info("ownership resumed", "Service", name, "Revision", r.Revision, "InheritedFor", remaining(service.state.InheritedUntil(), now))
--- a/io/coordination/era_test.go
+++ b/io/coordination/era_test.go
@@ -304,3 +304,31 @@
 		}
 	}
 }
+
+// Another coordinator of the new era may have written the map and moved keys since, whose owners must not be renewed by this one.
+func TestKnownGrantsHaveNoPartInTheNewLeaseUntilTheOwnersAreRead(t *testing.T) {
+	h := newHarness(t)
+	keys := keymap.New(holding.Holding{Range: keyrange.All(), Owner: testServer.Incarnation(), Fence: 7})
+	value, err := registry.EncodeOwners(keys, 9, "w", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	service := newTestService(testStart)
+	service.state = service.state.WithMembers([]instance.Instance{testServer}, testStart).WithLease(testStart.Add(testTiming.LeaseDuration))
+	h.services["s"] = service
+	h.tenure = tenure{isCoordinator: true, leaseID: 1, revision: 5, leaseEnd: testStart.Add(testTiming.LeaseDuration), renewedAt: testStart}
+	h.storeEra = 1
+	h.updateEra(testStart)
+	h.owners.Store(record.Record{Revision: era.Era(1).Position(3), Value: value})
+	h.startTenure(2, era.Era(1).Position(2), testStart, testTiming.LeaseDuration)
+	h.setLeaseEnd(testStart.Add(time.Minute))
+	h.advance(testTiming.LeaseDuration)
+	if n := len(grantsIn(h.tick(service))); n > 0 {
+		t.Errorf("%d grants under the new lease before the owners were read", n)
+	}
+	h.apply()
+	h.apply()
+	if h.services["s"] == service {
+		t.Error("the grants of before count beside those of the coordinator that has written the owners since")
+	}
+}
