--- a/io/watch/era_test.go
+++ b/io/watch/era_test.go
@@ -11,6 +11,13 @@
 	"redwingsill/core/record"
 )
 
+// expectNext expects a change, and no other before it.
+func (s *fakeSink) expectNext(want record.Record) {
+	var got record.Record
+	Eventually(s.changes).Should(Receive(&got))
+	Expect(got).To(Equal(want))
+}
+
 var _ = Describe("watching a prefix of a store that comes back from an older copy", func() {
 	at := era.Era(1).Position
 
@@ -19,7 +26,7 @@
 			[]response{{err: newCallError(kind.NotFound)}, {records: []record.Record{put("c", at(10))}, revision: at(10)}})
 		sink := run(s)
 		for _, want := range []record.Record{put("a", 11), put("b", 2), put("c", 12), put("b", at(2)), put("c", at(10))} {
-			Eventually(sink.changes).Should(Receive(Equal(want)))
+			sink.expectNext(want)
 		}
 		Consistently(sink.changes, "2s").ShouldNot(Receive())
 		time.Sleep(1100 * time.Millisecond)
@@ -34,7 +41,7 @@
 			[]response{{err: newCallError(kind.NotFound)}, {records: []record.Record{put("a", at(10)), removed("a", at(11))}, revision: at(11)}})
 		sink := run(s)
 		for _, want := range []record.Record{put("a", 11), put("a", at(10)), removed("a", at(11))} {
-			Eventually(sink.changes).Should(Receive(Equal(want)))
+			sink.expectNext(want)
 		}
 	})
 
@@ -64,7 +71,7 @@
 				{records: []record.Record{put("a", at(12))}, revision: at(12)}})
 		sink := run(s)
 		for _, want := range []record.Record{put("a", 5), put("b", 6), removed("a", 9), removed("b", 10), put("b", at(10)), put("a", at(12))} {
-			Eventually(sink.changes).Should(Receive(Equal(want)))
+			sink.expectNext(want)
 		}
 	})
 })
