--- a/core/electorate/electorate.go
+++ b/core/electorate/electorate.go
@@ -21,6 +21,10 @@
 	// earlier has the sets of the coordinators whose grants may still be in force, once isEarlierKnown is set.
 	earlier        [][]string
 	isEarlierKnown bool
+	// lost are the hosts that stand for sets of earlier coordinators that the store has lost, or nil. isLost is set if there may be such
+	// sets.
+	lost   []string
+	isLost bool
 	// own is the coordinator's set that was stored last, and writing the one whose write has no known result. Either is nil if
 	// there is none.
 	own, writing []string
@@ -34,7 +38,7 @@
 // WithEarlier sets the sets of all earlier coordinators whose grants may still be in force. Sets without a host or with
 // the same hosts as another are left out.
 func (e Electorate) WithEarlier(sets [][]string) Electorate {
-	e.earlier, e.isEarlierKnown = nil, true
+	e.earlier, e.isEarlierKnown, e.lost, e.isLost = nil, true, nil, false
 	for _, set := range sets {
 		hosts := slices.Compact(slices.Sorted(slices.Values(set)))
 		if len(hosts) > 0 && !slices.ContainsFunc(e.earlier, func(other []string) bool { return slices.Equal(other, hosts) }) {
@@ -44,6 +48,14 @@
 	return e
 }
 
+// WithOlder sets the sets of earlier coordinators from a store that may have lost later ones. The hosts that were known then stand for
+// those. Nothing is stored beside them, since a successor would take them for a set that a coordinator counts on.
+func (e Electorate) WithOlder(sets [][]string, known []string) Electorate {
+	e = e.WithEarlier(sets)
+	e.lost, e.isLost = slices.Compact(slices.Sorted(slices.Values(known))), true
+	return e
+}
+
 // IsEarlierKnown reports whether the sets of earlier coordinators are known.
 func (e Electorate) IsEarlierKnown() bool { return e.isEarlierKnown }
 
@@ -53,7 +65,7 @@
 // NeedsWrite reports whether a set of the given hosts should be stored: no write is under way, and none is stored, more than a
 // sixth of it differs, or sets of earlier coordinators are stored that no longer count.
 func (e Electorate) NeedsWrite(hosts []string) bool {
-	if !e.isEarlierKnown || e.writing != nil || len(hosts) == 0 {
+	if !e.isEarlierKnown || e.isLost || e.writing != nil || len(hosts) == 0 {
 		return false
 	}
 	return e.own == nil || e.hasStoredEarlier && len(e.earlier) == 0 || differences(e.own, slices.Sorted(slices.Values(hosts)))*changeDivisor > len(e.own)
@@ -102,6 +114,13 @@
 // which the store is unreachable, and whether it is known. It is the zero time if no earlier one may act any more.
 func (e Electorate) StoreReachableSince(reports map[string]reachability.Reachability) (time.Time, bool) {
 	var latest time.Time
+	if e.isLost {
+		since, ok := reachability.StoreReachableSinceByMost(reports, e.lost, e.revision)
+		if !ok {
+			return time.Time{}, false
+		}
+		latest = since
+	}
 	for _, hosts := range e.earlier {
 		since, ok := reachability.StoreReachableSince(reports, hosts, e.revision)
 		if !ok {
--- a/core/ownership/faults_test.go
+++ b/core/ownership/faults_test.go
@@ -33,6 +33,8 @@
 	copiesAnswers bool
 	// evacuatesServers: the data centres of servers are evacuated, and evacuations end. The coordinators know either late.
 	evacuatesServers bool
+	// returnsStore: the store returns to an older copy, and coordinators learn of that early or late.
+	returnsStore bool
 }
 
 // reuseAfter is the time after which the address of an ended server may go to another service.
@@ -67,6 +69,9 @@
 	if m.faults.cutsHosts && !m.now.Before(m.splitUntil) {
 		m.drawHostFaults()
 	}
+	if m.faults.returnsStore {
+		m.drawReturn()
+	}
 	c := m.current()
 	if c == nil {
 		return
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -64,6 +64,11 @@
 	// rates are the request rates of keys at ratesAt.
 	rates   keyrates.Rates
 	ratesAt time.Time
+	// mapState differs from mapCurrent while the store has lost the map. isUnheld is set once holds under an older map have probably
+	// expired.
+	mapState  mapState
+	lostUntil time.Time // when a state with mapLost ends
+	isUnheld  bool
 	// isDeposed is set once a write to the store has failed.
 	isDeposed bool
 	// events is what happened since the last WithoutEvents.
@@ -130,8 +135,11 @@
 func (o Ownership) Keys() keymap.Map { return o.keys }
 
 // Unserved returns the ranges to which no request may be sent now: those that are moving, and those whose new owner has
-// not acknowledged its grant.
+// not acknowledged its grant. With an older map than the grants, requests go to the owners in it for as long as these may hold.
 func (o Ownership) Unserved() []keyrange.Range {
+	if o.mapState == mapOlder && o.isUnheld {
+		return []keyrange.Range{keyrange.All()}
+	}
 	ranges := o.movingRanges()
 	for r, g := range o.renewals {
 		if g.isUnacknowledged {
@@ -151,27 +159,6 @@
 	return ranges
 }
 
-// IsActing reports whether the coordinator may still send commands at now, or may again once it finds the store
-// unreachable.
-func (o Ownership) IsActing(now time.Time) bool {
-	return !o.isDeposed && (now.Before(o.movesUntil.Add(o.timing.OutageDetectionTime)) || o.renewsWithoutStore(now))
-}
-
-// maySendGrants reports whether grants may be sent at now. A grant that arrived after the end of the lease could be taken by
-// a later incarnation with the owner's ID, which has seen no tokens of the next coordinator.
-func (o Ownership) maySendGrants(now time.Time) bool {
-	return !now.Add(o.timing.CallTimeout).After(o.movesUntil) || o.renewsWithoutStore(now)
-}
-
-// renewsWithoutStore reports whether the coordinator renews its grants at now whether or not its lease has ended, since
-// the store is unreachable.
-func (o Ownership) renewsWithoutStore(now time.Time) bool {
-	return now.Before(o.renewsUntil) && now.Before(o.unreachableUntil)
-}
-
-// IsDeposed reports whether a write to the store has failed. Another coordinator may then have taken over.
-func (o Ownership) IsDeposed() bool { return o.isDeposed }
-
 func (o Ownership) withNextID() (Ownership, int64) {
 	o.lastID++
 	return o, o.lastID
