Admission: under overload only requests that can end within the objective wait

A request was admitted if it could end before its deadline, and counted as late by the mean service time of all servers. Under overload of a key's owner each request waited until just too late, most of all on slow servers. core/admission now decides at arrival with the owner's measured time and spread: while the measured load is above 1.2 of what the server runs, a request waits at most half of the room that its objective leaves, and others are refused at once. The excess of one dominant key does not count in the load that other keys of the server meet. The list of waiting requests orders by the owner's service time, also between ticks.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -38,6 +38,9 @@
 	if p.queues[n].Len() == 0 || n == p.commonQueue() && p.isSharded && p.queues[n].Keyless() == 0 {
 		return p, nil // thousands of requests may wait for an owner, and a free slot doesn't help them
 	}
+	if p.hasFreeSlot(n, now) { // the head may have become late since the last tick
+		p = p.withQueue(n, p.queues[n].WithLateHeadLast(now, func(rank int) time.Duration { return p.timeInTime(n, rank, now) }))
+	}
 	var done []placement.Placement
 	p.queues[n].Each(func(r slotrequest.SlotRequest) bool {
 		if !now.Before(r.Deadline) {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/benbjohnson/immutable"
 
+	"redwingsill/core/arrivalrate"
 	"redwingsill/core/instance"
 	"redwingsill/core/keyload"
 	"redwingsill/core/keymap"
@@ -39,6 +40,8 @@
 	// unservedRanges are the key ranges whose requests must wait, also if they have an owner.
 	unservedRanges []keyrange.Range
 	keyLoad        keyload.Load
+	// unkeyedArrivals is the rate of the requests that any server may run.
+	unkeyedArrivals arrivalrate.Rate
 	// serviceTimes gives the average service time by rank, on a server of average speed.
 	serviceTimes map[int]servicetime.Average
 }
@@ -100,7 +103,7 @@
 		queued, _ := p.waiting.Get(r.Ticket)
 		p = p.withQueue(queued.queue, p.queues[queued.queue].Without(r.Ticket))
 		n := p.queueOf(r)
-		p = p.withQueue(n, p.queues[n].With(r, p.willMissObjective(r, now)))
+		p = p.withQueue(n, p.queues[n].With(r, p.willMissObjective(n, r, now)))
 		p.waiting = p.waiting.Set(r.Ticket, queuedRequest{queue: n, queuedAt: queued.queuedAt})
 	}
 	return p
@@ -141,16 +144,16 @@
 	p.queues = slices.Repeat([]waitlist.Waitlist{waitlist.New()}, len(p.servers)+1)
 	for _, r := range requests {
 		n := p.queueOf(r)
-		p.queues[n] = p.queues[n].With(r, p.willMissObjective(r, now))
+		p.queues[n] = p.queues[n].With(r, p.willMissObjective(n, r, now))
 		queued, _ := p.waiting.Get(r.Ticket)
 		p.waiting = p.waiting.Set(r.Ticket, queuedRequest{queue: n, queuedAt: queued.queuedAt})
 	}
 	return p
 }
 
-// willMissObjective reports whether a request that started now would be answered after its objective.
-func (p Pool) willMissObjective(r slotrequest.SlotRequest, now time.Time) bool {
-	return now.Add(p.serviceTimeOf(r.Rank)).After(r.Objective)
+// willMissObjective reports whether a request of queue n that started now would be answered after its objective.
+func (p Pool) willMissObjective(n int, r slotrequest.SlotRequest, now time.Time) bool {
+	return now.Add(p.timeInTime(n, r.Rank, now)).After(r.Objective)
 }
 
 // KeyLoad returns the recent load by key.
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"redwingsill/core/arrivalrate"
+	"redwingsill/core/dominantkey"
 	"redwingsill/core/instance"
 )
 
@@ -26,6 +28,9 @@
 	// externalRequests is how many requests the server had at externalAt that did not come through this pool.
 	externalRequests int
 	externalAt       time.Time
+	// arrivals is the rate of requests for keys of the server, and dominantKey the key that may have most of them.
+	arrivals    arrivalrate.Rate
+	dominantKey dominantkey.DominantKey
 	// blockedUntil gives, by entry host, until when that host gets no slots here, since it could not connect. An answer
 	// to any host clears it.
 	blockedUntil map[uint32]time.Time
@@ -151,6 +156,16 @@
 	return time.Duration(float64(serviceTime) * factor / (1 - min(s.failureRate, maxCountedFailureRate)))
 }
 
+// ownTime returns how long a request with the given average service time runs on the server. Unlike [server.expectedTime] it
+// doesn't follow single slow requests, since it orders the requests that wait.
+func (s *server) ownTime(serviceTime time.Duration, now time.Time) time.Duration {
+	factor := s.slownessFactor()
+	if now.Before(s.instance.WarmUpEnd) {
+		factor *= warmUpFactor
+	}
+	return time.Duration(float64(serviceTime) * factor)
+}
+
 // withResponseTime returns the server after an answer with the given response time, relative to the mean service time of
 // the request's rank.
 func (s server) withResponseTime(relativeTime float64) server {
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -25,6 +25,7 @@
 		return p, []placement.Placement{placement.Refuse{Ticket: request.Ticket, Reason: placement.NoServers, RetryAfter: noServerRetryAfter}}
 	}
 	n := p.queueOf(request)
+	p = p.withArrival(n, request, now)
 	if p.queues[n].Len() == 0 { // a request that can run at once is not queued
 		if s, ok := p.chooseServer(n, request, now); ok {
 			return p.withRun(request, s, now), []placement.Placement{placement.Place{Ticket: request.Ticket, Incarnation: p.servers[s].incarnation}}
@@ -33,12 +34,10 @@
 	if refusal, ok := p.refusalOf(n, request, now, now); ok {
 		return p, []placement.Placement{refusal}
 	}
-	// A request is refused unless at least half its service time, as in minServiceTimeFraction, is left after the wait.
-	if wait, left := p.expectedWait(n, request, now), request.Deadline.Sub(now); wait > 0 && wait+p.serviceTimeOf(request.Rank)/2 > left {
-		return p, []placement.Placement{placement.Refuse{Ticket: request.Ticket, Reason: placement.Overload,
-			RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait+p.serviceTimeOf(request.Rank)-left))}}
+	if a := p.admissionOf(n, request, now); a.IsRefused() {
+		return p, []placement.Placement{placement.Refuse{Ticket: request.Ticket, Reason: placement.Overload, RetryAfter: a.RetryAfter(request.Ticket)}}
 	}
-	p = p.withQueue(n, p.queues[n].With(request, p.willMissObjective(request, now)))
+	p = p.withQueue(n, p.queues[n].With(request, p.willMissObjective(n, request, now)))
 	p.waiting = p.waiting.Set(request.Ticket, queuedRequest{queue: n, queuedAt: now})
 	return p.withDispatched(n, now)
 }
@@ -124,7 +123,7 @@
 	var refused []placement.Placement
 	for n, q := range p.queues {
 		if q.Len() > 0 {
-			p.queues[n] = q.WithLateLast(now, p.serviceTimeOf)
+			p.queues[n] = q.WithLateLast(now, func(rank int) time.Duration { return p.timeInTime(n, rank, now) })
 			p, refused = p.withoutUnservable(n, refused, now)
 		}
 	}
