Slowness of the moment and failures of all servers no longer count as those of one server

The fourth figure of the load header says how slow the server's machine is at the moment. It was dropped, so that a moment of 400 ms spoilt the long-term speed. A fresh figure adds to the expected time; after 200 ms it says nothing.

Failure rates of servers count relative to the mean of all servers. If all servers refuse at random, no server is avoided for it.

The slice of servers is copied once for a slot request instead of twice.

--- a/core/notification/notification.go
+++ b/core/notification/notification.go
@@ -3,7 +3,7 @@
 package notification
 
 // Notification is one message between entry hosts. The variants are [SlotRequested], [Queued], [Placed], [Refused],
-// [Declined], [Cancelled], [AttemptReported], [ServerAnnounced], [HeldSlots], [Ping], [Pong], [ReachabilityRequested] and
+// [Declined], [Cancelled], [AttemptReported], [ServerAnnounced], [ServerSlowed], [HeldSlots], [Ping], [Pong], [ReachabilityRequested] and
 // [ReachabilityReported].
 //
 //sumtype:decl
--- a/core/pool/admission.go
+++ b/core/pool/admission.go
@@ -30,6 +30,9 @@
 	serviceTime, deviation := p.ownTimes(n, r.Rank, now)
 	a := admission.Admission{Wait: p.expectedWait(n, r, now), ServiceTime: serviceTime, Deviation: deviation,
 		ToObjective: r.Objective.Sub(now), ToDeadline: r.Deadline.Sub(now)}
+	if n != p.commonQueue() && a.Wait > 0 {
+		a.Wait += p.servers[n].slowdown.Extra(serviceTime, now)
+	}
 	if p.restOfPause(n, r, now) == 0 { // the wait for the end of a pause has rules of its own
 		a.Load = p.loadOf(n, r, now)
 	}
@@ -69,3 +72,15 @@
 func (p Pool) timeInTime(n int, rank int, now time.Time) time.Duration {
 	return admission.TimeInTime(p.ownTimes(n, rank, now))
 }
+
+// timesInTime returns timeInTime as a function of the rank. It keeps the last result, since the requests of a queue are looked at by
+// rank, and thousands of them may wait.
+func (p Pool) timesInTime(n int, now time.Time) func(rank int) time.Duration {
+	last, result := -1, time.Duration(0)
+	return func(rank int) time.Duration {
+		if rank != last {
+			last, result = rank, p.timeInTime(n, rank, now)
+		}
+		return result
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -196,6 +196,15 @@
 	return time.Duration(total / float64(count))
 }
 
+// meanFailureRate returns the mean of the servers' failure rates.
+func (p Pool) meanFailureRate() float64 {
+	total := 0.0
+	for _, s := range p.servers {
+		total += s.failureRate
+	}
+	return total / float64(max(1, len(p.servers)))
+}
+
 // serviceTimeOf returns the mean service time of a rank on a server of average speed.
 func (p Pool) serviceTimeOf(rank int) time.Duration {
 	return p.serviceTimes[rank].Mean(defaultServiceTime)
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -8,6 +8,7 @@
 	"redwingsill/core/arrivalrate"
 	"redwingsill/core/dominantkey"
 	"redwingsill/core/instance"
+	"redwingsill/core/slowdown"
 )
 
 // server is the pool's state of one backend server.
@@ -20,6 +21,8 @@
 	// number of these response times.
 	slowness float64
 	samples  int
+	// slowdown is how much slower than usual the server's machine is at the moment, as far as its answers report it.
+	slowdown slowdown.Slowdown
 	// failureRate is the moving average of failed requests, from 0 to 1.
 	failureRate float64
 	// backoffs counts the failures in a row that caused a backoff. The server gets no requests until backoffUntil.
@@ -143,8 +146,8 @@
 }
 
 // expectedTime returns how long a request with the given average service time takes on the server, including retries
-// after failures.
-func (s server) expectedTime(serviceTime time.Duration, now time.Time) time.Duration {
+// after failures, of which the server has the given rate beyond that of all servers.
+func (s server) expectedTime(serviceTime time.Duration, failureRate float64, now time.Time) time.Duration {
 	factor := s.slownessFactor()
 	if now.Before(s.instance.WarmUpEnd) {
 		factor *= warmUpFactor
@@ -153,7 +156,8 @@
 		// An overdue request shows that the server is slow before its answer arrives.
 		factor = max(factor, overdueFactor*float64(now.Sub(s.oldestStart()))/float64(serviceTime))
 	}
-	return time.Duration(float64(serviceTime) * factor / (1 - min(s.failureRate, maxCountedFailureRate)))
+	usual := time.Duration(float64(serviceTime) * factor)
+	return time.Duration(float64(usual+s.slowdown.Extra(usual, now)) / (1 - min(failureRate, maxCountedFailureRate)))
 }
 
 // ownTime returns how long a request with the given average service time runs on the server. Unlike [server.expectedTime] it
@@ -185,6 +189,10 @@
 	return s
 }
 
+// excessFailureRate returns by how much the failure rate of the server exceeds the mean of all servers. Failures that all servers
+// have, such as random refusals under a common overload, are no reason to prefer or to avoid one of them.
+func (s server) excessFailureRate(mean float64) float64 { return max(0, s.failureRate-mean) }
+
 // withBackoff returns the server after one more failure in a row. It gets no requests for minBackoff after the first one,
 // and for twice as long after each further one, up to maxBackoff.
 func (s server) withBackoff(now time.Time) server {
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -1,12 +1,14 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/placement"
 	"redwingsill/core/slotrequest"
+	"redwingsill/core/slowdown"
 )
 
 // WithRequest returns the pool after a slot request, and the placements that follow; there are none if the request
@@ -28,7 +30,10 @@
 	p = p.withArrival(n, request, now)
 	if p.queues[n].Len() == 0 { // a request that can run at once is not queued
 		if s, ok := p.chooseServer(n, request, now); ok {
-			return p.withRun(request, s, now), []placement.Placement{placement.Place{Ticket: request.Ticket, Incarnation: p.servers[s].incarnation}}
+			if n == p.commonQueue() {
+				p.servers = slices.Clone(p.servers)
+			} // else withArrival has copied the slice
+			return p.withRunInPlace(request, s, now), []placement.Placement{placement.Place{Ticket: request.Ticket, Incarnation: p.servers[s].incarnation}}
 		}
 	}
 	if refusal, ok := p.refusalOf(n, request, now, now); ok {
@@ -78,9 +83,11 @@
 		s.backoffs, s.blockedUntil = 0, nil
 		if ok {
 			average := p.serviceTimeOf(ended.rank)
-			p = p.withServiceTime(ended.rank, time.Duration(float64(r.Duration)/max(minSlowness, s.slownessFactor())))
+			s.slowdown = slowdown.New(cmp.Or(r.SlowdownPercent, ended.reportedSlowdown), now)
+			usual := slowdown.Usual(r.Duration, ended.slowdownAtStart, s.slowdown.Factor(now))
+			p = p.withServiceTime(ended.rank, time.Duration(float64(usual)/max(minSlowness, s.slownessFactor())))
 			if now.After(s.instance.WarmUpEnd) {
-				s = s.withResponseTime(min(maxRelativeTime, float64(r.Duration)/float64(max(average, minMeanServiceTime))))
+				s = s.withResponseTime(min(maxRelativeTime, float64(usual)/float64(max(average, minMeanServiceTime))))
 			}
 		}
 	case attemptresult.Failed:
@@ -106,6 +113,24 @@
 	return p.withServer(n, p.servers[n].withPause(host, pause, now)).withDispatchedAfter(incarnation, now)
 }
 
+// WithSlowdown returns the pool after a server reported how slow its machine is, in percent of the usual time, with the answer to
+// the request that holds the ticket's slot. The result of that request follows.
+func (p Pool) WithSlowdown(ticket uint64, percent int, now time.Time) Pool {
+	r, ok := p.runs.Get(ticket)
+	if !ok {
+		return p
+	}
+	r.reportedSlowdown = percent
+	p.runs = p.runs.Set(ticket, r)
+	n, ok := p.serverIndex(r.incarnation)
+	if !ok {
+		return p
+	}
+	s := *p.servers[n]
+	s.slowdown = slowdown.New(percent, now)
+	return p.withServer(n, s)
+}
+
 // WithHeldSlots returns the pool after the slots that a host no longer holds were freed, and the placements that follow.
 // These are the slots given out before the given time whose tickets are not in held. Their results were lost on the way.
 func (p Pool) WithHeldSlots(host uint32, held map[uint64]bool, before, now time.Time) (Pool, []placement.Placement) {
@@ -123,7 +148,7 @@
 	var refused []placement.Placement
 	for n, q := range p.queues {
 		if q.Len() > 0 {
-			p.queues[n] = q.WithLateLast(now, func(rank int) time.Duration { return p.timeInTime(n, rank, now) })
+			p.queues[n] = q.WithLateLast(now, p.timesInTime(n, now))
 			p, refused = p.withoutUnservable(n, refused, now)
 		}
 	}
--- a/io/slotclient/slotclient.go
+++ b/io/slotclient/slotclient.go
@@ -15,6 +15,7 @@
 	"redwingsill/core/rcu"
 	"redwingsill/core/reachability"
 	"redwingsill/core/slotrequest"
+	"redwingsill/core/slowdown"
 	"redwingsill/io/datagram"
 	"redwingsill/io/slotserver"
 )
@@ -95,6 +96,9 @@
 	if r.Announcement.HasEffect() {
 		c.send(s.host, notification.ServerAnnounced{Service: s.service, Host: c.hostID, Incarnation: s.Incarnation, Announcement: r.Announcement})
 	}
+	if slowdown.IsNotable(r.SlowdownPercent) {
+		c.send(s.host, notification.ServerSlowed{Service: s.service, Ticket: s.ticket, Percent: r.SlowdownPercent})
+	}
 	c.send(s.host, notification.AttemptReported{Service: s.service, Result: r})
 }
 
@@ -138,6 +142,8 @@
 			c.slotServer.Pause(n.Service, n.Incarnation, n.Host, n.Announcement.Pause)
 		}
 		c.onAnnouncement(from, n)
+	case notification.ServerSlowed:
+		c.slotServer.Slow(n.Service, n.Ticket, n.Percent)
 	case notification.HeldSlots:
 		c.slotServer.ReclaimUnlisted(n.Service, n.Host, n.Tickets, c.now().Add(-minReclaimAge))
 	case notification.Ping:
