Refusals at random: retries for requests that can be in time, and no load from refused requests

Requests that a server refuses don't count as its work, so that their repetition is not taken for an overload, and a further attempt may use the whole room of its objective.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -35,8 +35,13 @@
 	ToObjective, ToDeadline time.Duration
 	// Load is the work asked for, relative to what the servers can run.
 	Load float64
+	// IsRetry is set for a further attempt at a request that a server has not run.
+	IsRetry bool
 }
 
+// IsOverload reports whether the work asked for, relative to what the servers can run, is an overload.
+func IsOverload(load float64) bool { return load > overload }
+
 // TimeInTime returns the service time by which an answer counts as in time: the mean and a margin for its spread.
 func TimeInTime(serviceTime, deviation time.Duration) time.Duration {
 	return serviceTime + time.Duration(margin*float64(deviation))
@@ -53,11 +58,15 @@
 
 // isOverloaded reports whether the bound of the wait applies. It does not without an objective that can still be met, which
 // routes needn't have.
-func (a Admission) isOverloaded() bool { return a.Load > overload && a.ToObjective > 0 }
+func (a Admission) isOverloaded() bool { return IsOverload(a.Load) && a.ToObjective > 0 }
 
-// maxWait returns how long a request may wait under overload. It is negative for one that can only be late.
+// maxWait returns how long a request may wait under overload. It is negative for one that can only be late. A further attempt may use
+// the room that first attempts leave, since a refusal after a wait serves the caller worst.
 func (a Admission) maxWait() time.Duration {
 	room := a.ToObjective - TimeInTime(a.ServiceTime, a.Deviation)
+	if a.IsRetry {
+		return room
+	}
 	return min(room, time.Duration(overloadWaitFraction*float64(room)))
 }
 
--- a/core/pool/admission.go
+++ b/core/pool/admission.go
@@ -41,7 +41,7 @@
 func (p Pool) admissionOf(n int, r slotrequest.SlotRequest, now time.Time) admission.Admission {
 	serviceTime, deviation := p.ownTimes(n, r.Rank, now)
 	a := admission.Admission{Wait: p.expectedWait(n, r, now), ServiceTime: serviceTime, Deviation: deviation,
-		ToObjective: r.Objective.Sub(now), ToDeadline: r.Deadline.Sub(now)}
+		ToObjective: r.Objective.Sub(now), ToDeadline: r.Deadline.Sub(now), IsRetry: r.IsRetry}
 	if n != p.commonQueue() && a.Wait > 0 {
 		a.Wait += p.servers[n].slowdown.Extra(serviceTime, now)
 	}
@@ -62,7 +62,33 @@
 	if n != p.commonQueue() && !p.isHot(n, r.Key, now) {
 		rate = max(0, rate-p.servers[n].hotArrivals.PerSecond(now))
 	}
-	return rate * p.MeanServiceTime().Seconds() / capacity
+	return rate * p.workOfArrival(n) / capacity
+}
+
+// workOfArrival returns the seconds that a server of average speed takes for one arrival at queue n. Requests that a server refuses take
+// none: while servers refuse at random, many more requests arrive than run.
+func (p Pool) workOfArrival(n int) float64 {
+	refusalRate := 0.0
+	if n != p.commonQueue() {
+		refusalRate = p.servers[n].refusalRate
+	} else {
+		for _, s := range p.servers {
+			refusalRate += s.refusalRate / float64(len(p.servers))
+		}
+	}
+	return p.MeanServiceTime().Seconds() * (1 - refusalRate)
+}
+
+// Overloaded returns the number of servers, or 1 for all servers of a service without keys, that are asked for so much that requests
+// that can only be late are refused.
+func (p Pool) Overloaded(now time.Time) int {
+	overloaded := 0
+	for n := range p.queues {
+		if capacity, _ := p.queueCapacity(n, now); capacity > 0 && admission.IsOverload(p.arrivalsOf(n).PerSecond(now)*p.workOfArrival(n)/capacity) {
+			overloaded++
+		}
+	}
+	return overloaded
 }
 
 // arrivalsOf returns the rate of arrivals at queue n.
@@ -75,7 +101,7 @@
 
 // freeShare returns the part of the capacity of queue n that the arrivals of more urgent ranks are expected to leave to a rank.
 func (p Pool) freeShare(n, rank int, capacity float64, now time.Time) float64 {
-	taken := p.arrivalsOf(n).MoreUrgentPerSecond(rank, now) * p.MeanServiceTime().Seconds() / capacity
+	taken := p.arrivalsOf(n).MoreUrgentPerSecond(rank, now) * p.workOfArrival(n) / capacity
 	return max(minFreeShare, 1-taken)
 }
 
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -24,6 +24,8 @@
 	slowdown slowdown.Slowdown
 	// failureRate is the moving average of failed requests, from 0 to 1.
 	failureRate float64
+	// refusalRate is the moving average of requests that the server refused without running them, from 0 to 1.
+	refusalRate float64
 	// backoffs counts the failures in a row that caused a backoff. The server gets no requests until backoffUntil.
 	backoffs     int
 	backoffUntil time.Time
@@ -177,13 +179,17 @@
 	return s
 }
 
-// withAttempt returns the server with one more successful or failed attempt in its failure rate.
-func (s server) withAttempt(failed bool) server {
-	value := 0.0
-	if failed {
-		value = 1
+// withAttempt returns the server with one more successful, failed or refused attempt in its rates. A refusal is a failure too.
+func (s server) withAttempt(failed, refused bool) server {
+	failure, refusal := 0.0, 0.0
+	if failed || refused {
+		failure = 1
 	}
-	s.failureRate += failureWeight * (value - s.failureRate)
+	if refused {
+		refusal = 1
+	}
+	s.failureRate += failureWeight * (failure - s.failureRate)
+	s.refusalRate += failureWeight * (refusal - s.refusalRate)
 	return s
 }
 
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -79,7 +79,7 @@
 	switch r.Status {
 	case attemptresult.Answered:
 		s = s.withReturned(host, now)
-		s = s.withAttempt(false)
+		s = s.withAttempt(false, false)
 		s.backoffs, s.blockedUntil = 0, nil
 		if ok {
 			average := p.serviceTimeOf(ended.rank)
@@ -91,13 +91,13 @@
 			}
 		}
 	case attemptresult.Failed:
-		s = s.withAttempt(true)
+		s = s.withAttempt(true, false)
 	case attemptresult.Refused:
-		s = s.withAttempt(true)
+		s = s.withAttempt(false, true)
 	case attemptresult.Unreachable:
 		s = s.withUnreachable(host, now)
 	case attemptresult.Replaced, attemptresult.TimedOut:
-		s = s.withAttempt(true).withBackoff(now)
+		s = s.withAttempt(true, false).withBackoff(now)
 	case attemptresult.NotOwner, attemptresult.Left, attemptresult.Unsent:
 	}
 	return p.withServer(n, s).withDispatchedAfter(r.Incarnation, now)
--- a/core/pool/wait.go
+++ b/core/pool/wait.go
@@ -64,7 +64,7 @@
 		return p, refused
 	}
 	p.queues[n].Each(func(r slotrequest.SlotRequest) bool {
-		serviceTime := p.serviceTimeOf(r.Rank)
+		serviceTime, _ := p.ownTimes(n, r.Rank, now)
 		wait := p.restOfPause(n, r, now) + time.Duration(ahead/capacity)
 		if left := r.Deadline.Sub(now); wait+time.Duration(minServiceTimeFraction*float64(serviceTime)) > left {
 			refused = append(refused, placement.Refuse{Ticket: r.Ticket, Reason: placement.Overload,
@@ -72,7 +72,7 @@
 			p = p.withoutWaiting(r.Ticket)
 			return true
 		}
-		ahead += float64(serviceTime)
+		ahead += float64(p.serviceTimeOf(r.Rank)) // of a server of average speed, as the capacity is
 		return true
 	})
 	return p, refused
--- a/io/forward/forwarder_test.go
+++ b/io/forward/forwarder_test.go
@@ -24,6 +24,7 @@
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
 	"redwingsill/core/notification"
+	"redwingsill/core/placement"
 	"redwingsill/core/rcu"
 	"redwingsill/core/reachability"
 	"redwingsill/core/roster"
@@ -45,6 +46,7 @@
 type noMetrics struct{}
 
 func (noMetrics) ObserveRequest(string, int, string, time.Duration) {}
+func (noMetrics) CountRefusal(string, int, placement.Reason, bool)  {}
 func (noMetrics) CountAttempt(string, attemptresult.Status)         {}
 
 // repeatingServer is a faulty backend server: it answers the first request without running it, and writes a copy of that answer before
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -23,6 +23,7 @@
 	"redwingsill/core/instance"
 	"redwingsill/core/limits"
 	"redwingsill/core/notification"
+	"redwingsill/core/placement"
 	"redwingsill/core/rcu"
 	"redwingsill/core/reachability"
 	"redwingsill/core/roster"
@@ -44,6 +45,7 @@
 type noMetrics struct{}
 
 func (noMetrics) ObserveRequest(string, int, string, time.Duration) {}
+func (noMetrics) CountRefusal(string, int, placement.Reason, bool)  {}
 func (noMetrics) CountAttempt(string, attemptresult.Status)         {}
 
 // entryHost is the front end of a host with one backend server. The routes of a.example are /get/, whose requests may run more than
--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -12,6 +12,7 @@
 
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/ownershipevent"
+	"redwingsill/core/placement"
 )
 
 // Metrics holds the Prometheus collectors of one host, and implements forward.Metrics and
@@ -21,6 +22,7 @@
 	registry        *prometheus.Registry
 	requestDuration *prometheus.HistogramVec
 	attempts        *prometheus.CounterVec
+	refusals        *prometheus.CounterVec
 	storeCalls      *prometheus.CounterVec
 	rangesFreed     *prometheus.CounterVec
 	rangesFenced    *prometheus.CounterVec
@@ -37,6 +39,8 @@
 			Buckets: []float64{.005, .013, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4}}, []string{"service", "rank", "outcome"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_attempts_total",
 			Help: "Requests sent to backend servers, by service and result."}, []string{"service", "result"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_refusals_total",
+			Help: "Requests that got no slot, by service, rank, reason, and whether they were refused at once or had waited."}, []string{"service", "rank", "reason", "when"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_store_calls_total",
 			Help: "Calls to the store, by call and result."}, []string{"call", "result"}),
 		rangesFreed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_ranges_freed_total",
@@ -48,7 +52,7 @@
 		pauses: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_pauses_total",
 			Help: "Answers in which a backend server asked this host for a pause, by service."}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses)
+	m.registry.MustRegister(m.requestDuration, m.attempts, m.refusals, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses)
 	return m
 }
 
@@ -67,6 +71,15 @@
 	m.attempts.WithLabelValues(service, result.String()).Inc()
 }
 
+// CountRefusal counts a request of a service that got no slot, by the reason, and by whether it had waited.
+func (m *Metrics) CountRefusal(service string, rank int, reason placement.Reason, hasWaited bool) {
+	when := "AtOnce"
+	if hasWaited {
+		when = "AfterWait"
+	}
+	m.refusals.WithLabelValues(service, strconv.Itoa(rank), string(reason), when).Inc()
+}
+
 // CountLeavingServer counts a backend server of a service whose answer said for the first time that it leaves.
 func (m *Metrics) CountLeavingServer(service string) { m.leavingServers.WithLabelValues(service).Inc() }
 
--- a/io/slotserver/slotserver.go
+++ b/io/slotserver/slotserver.go
@@ -63,7 +63,9 @@
 
 // Slow records how slow the machine of the server of a slot is at the moment, in percent of the usual time.
 func (s *SlotServer) Slow(service string, ticket uint64, percent int) {
-	s.update(s.pool(service), func(p pool.Pool) (pool.Pool, []placement.Placement) { return p.WithSlowdown(ticket, percent, s.now()), nil })
+	s.update(s.pool(service), func(p pool.Pool) (pool.Pool, []placement.Placement) {
+		return p.WithSlowdown(ticket, percent, s.now()), nil
+	})
 }
 
 // ReclaimUnlisted frees the slots of a service that a host got before the given time and whose tickets are not among
@@ -113,6 +115,15 @@
 	}
 }
 
+// Overloaded returns the number of servers, or services without keys, that are asked for much more than they can run.
+func (s *SlotServer) Overloaded() int {
+	overloaded := 0
+	for _, p := range *s.pools.Read() {
+		overloaded += p.Read().Overloaded(s.now())
+	}
+	return overloaded
+}
+
 // Pool returns the current pool of a service.
 func (s *SlotServer) Pool(service string) pool.Pool { return s.pool(service).Load() }
 
