Requests refused at their arrival count as demand for the owner of their key

The coordinator moves the keys of waiting requests to servers with free slots. Requests that used to wait are now refused at once under overload, so it would have seen no demand.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -39,6 +39,8 @@
 	// unservedRanges are the key ranges whose requests must wait, also if they have an owner.
 	unservedRanges []keyrange.Range
 	keyLoad        keyload.Load
+	// turnedAway has the keyed requests that were refused at their arrival, the oldest first.
+	turnedAway []turnedAway
 	// unkeyedArrivals is the rate of the requests that any server may run.
 	unkeyedArrivals arrivalrate.Rate
 	// serviceTimes gives the average service time by rank, on a server of average speed.
@@ -158,15 +160,17 @@
 // KeyLoad returns the recent load by key.
 func (p Pool) KeyLoad() keyload.Load { return p.keyLoad }
 
-// Waiting returns the number of waiting requests.
-func (p Pool) Waiting() int { return p.waiting.Len() }
+// Waiting returns the number of waiting requests, and of those for keys that were refused at their arrival a short time ago.
+func (p Pool) Waiting() int { return p.waiting.Len() + len(p.turnedAway) }
 
 // Share returns the part of each server's slots that the pool may give out.
 func (p Pool) Share() float64 { return p.share }
 
 // IsIdle reports whether no request waits or runs and the key load has decayed, so that [Pool.WithTick] changes
 // nothing.
-func (p Pool) IsIdle() bool { return p.waiting.Len() == 0 && p.runs.Len() == 0 && p.keyLoad.IsZero() }
+func (p Pool) IsIdle() bool {
+	return p.waiting.Len() == 0 && p.runs.Len() == 0 && p.keyLoad.IsZero() && len(p.turnedAway) == 0
+}
 
 // Running returns the number of slots in use.
 func (p Pool) Running() int { return p.runs.Len() }
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -40,7 +40,7 @@
 		return p, []placement.Placement{refusal}
 	}
 	if a := p.admissionOf(n, request, now); a.IsRefused() {
-		return p, []placement.Placement{placement.Refuse{Ticket: request.Ticket, Reason: placement.Overload, RetryAfter: a.RetryAfter(request.Ticket)}}
+		return p.withTurnedAway(request, now), []placement.Placement{placement.Refuse{Ticket: request.Ticket, Reason: placement.Overload, RetryAfter: a.RetryAfter(request.Ticket)}}
 	}
 	p = p.withQueue(n, p.queues[n].With(request, p.willMissObjective(n, request, now)))
 	p.waiting = p.waiting.Set(request.Ticket, queuedRequest{queue: n, queuedAt: now})
@@ -144,6 +144,7 @@
 func (p Pool) WithTick(now time.Time) (Pool, []placement.Placement) {
 	p = p.withoutRuns(func(_ uint64, r run) bool { return now.After(r.deadline.Add(resultGrace)) })
 	p.keyLoad = p.keyLoad.Pruned(now)
+	p = p.withoutOldTurnedAway(now)
 	p.queues = slices.Clone(p.queues)
 	var refused []placement.Placement
 	for n, q := range p.queues {
