Routes without an objective count as in time until the deadline

The bound under overload spared requests whose objective had passed, so that routes without one were served as before. It spared late callers too. The objective of a route without one is now the deadline, and late callers are refused under overload.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -53,13 +53,9 @@
 	if a.Wait <= 0 {
 		return false
 	}
-	return a.Wait+time.Duration(minServiceTimeFraction*float64(a.ServiceTime)) > a.ToDeadline || a.isOverloaded() && a.Wait > a.maxWait()
+	return a.Wait+time.Duration(minServiceTimeFraction*float64(a.ServiceTime)) > a.ToDeadline || IsOverload(a.Load) && a.Wait > a.maxWait()
 }
 
-// isOverloaded reports whether the bound of the wait applies. It does not without an objective that can still be met, which
-// routes needn't have.
-func (a Admission) isOverloaded() bool { return IsOverload(a.Load) && a.ToObjective > 0 }
-
 // maxWait returns how long a request may wait under overload. It is negative for one that can only be late. A further attempt may use
 // the room that first attempts leave, since a refusal after a wait serves the caller worst.
 func (a Admission) maxWait() time.Duration {
@@ -74,7 +70,7 @@
 // caller can still use is kept within the time up to which callers honour it.
 func (a Admission) RetryAfter(ticket uint64) time.Duration {
 	room := a.Wait + time.Duration(minServiceTimeFraction*float64(a.ServiceTime)) - a.ToDeadline
-	if a.isOverloaded() {
+	if IsOverload(a.Load) {
 		// With no room for waiting at all, a later caller needs a free slot: the wait must be over.
 		room = max(room, a.Wait-max(0, a.maxWait()))
 	}
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -24,7 +24,7 @@
 		{"overload, just in time, a further attempt", func(a *admission.Admission) { a.Load, a.Wait, a.IsRetry = 2, 250*time.Millisecond, true }, false},
 		{"overload, a slow server", func(a *admission.Admission) { a.Load, a.ServiceTime = 2, 600*time.Millisecond }, true},
 		{"overload, a slow server with a free slot", func(a *admission.Admission) { a.Load, a.ServiceTime, a.Wait = 2, 600*time.Millisecond, 0 }, false},
-		{"overload, no objective", func(a *admission.Admission) { a.Load, a.ToObjective = 2, 0 }, false},
+		{"overload, a caller whose objective has passed", func(a *admission.Admission) { a.Load, a.ToObjective = 2, -time.Second }, true},
 	} {
 		a := base
 		c.change(&a)
--- a/io/forward/retrybudget.go
+++ b/io/forward/retrybudget.go
@@ -48,7 +48,7 @@
 	ok := false
 	now := f.now()
 	take := slidingbudget.Budget.WithRetry
-	if !s.history.MayHaveRun && float64(s.objective.Sub(now)) < minObjectiveLeft*float64(s.route.Objective) {
+	if s.route.Objective > 0 && !s.history.MayHaveRun && float64(s.objective.Sub(now)) < minObjectiveLeft*float64(s.route.Objective) {
 		take = slidingbudget.Budget.WithSpareRetry
 	}
 	f.updateBudget(s.service, func(b slidingbudget.Budget) slidingbudget.Budget {
