Plan key ranges by lasting speed and hot keys by a weighted cut

Slow servers owned as many keys as fast ones, and a span of hot keys moved in at most a sixteenth of the servers' number of ranges at a time, so it was not spread before it changed. The factors by which the pool measures speed also drift apart, so that capacities met their bound and told mean servers and fast ones apart no more.

core/serverspeed takes speeds over some seconds, relative to the mean speed. core/timelyload shares load out by how much of it ends within the objective, on rates over some seconds (core/steadyrates). core/weightedcut spreads hot keys over many servers in one pass, by rates of the last fraction of a second (core/keyload). Keys of waiting requests move only if these would be late.

--- a/core/keyload/count.go
+++ b/core/keyload/count.go
@@ -5,15 +5,21 @@
 	"time"
 )
 
-// count is an exponentially decaying number of requests, valid at updatedAt.
+// count is a number of requests that decays exponentially, once with halfLife and once with shortHalfLife, valid at updatedAt.
 type count struct {
 	value     float64
+	recent    float64
 	updatedAt time.Time
 }
 
-func (c count) decayedAt(now time.Time) float64 {
+func (c count) decayedAt(now time.Time) count {
 	if c.value == 0 {
-		return 0
+		return count{updatedAt: now}
 	}
-	return c.value * math.Exp2(-now.Sub(c.updatedAt).Seconds()/halfLife.Seconds())
+	decay := math.Exp2(-now.Sub(c.updatedAt).Seconds() / halfLife.Seconds())
+	fast := decay
+	for range shortHalfLifeDivisor - 1 {
+		fast *= decay
+	}
+	return count{value: c.value * decay, recent: c.recent * fast, updatedAt: now}
 }
--- a/core/keyload/keyload.go
+++ b/core/keyload/keyload.go
@@ -1,8 +1,8 @@
-// Package keyload measures the recent request rate of each key of a sharded service.
+// Package keyload measures the recent request rate of each key of a sharded service. Its load is one whose hot keys change
+// every few seconds: 60 to 200 neighbouring keys, or one alone, get a third of all requests from one moment to the next.
 package keyload
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -14,6 +14,13 @@
 // halfLife is the time in which a count decays to half. It is short, since hot key ranges last only some seconds.
 const halfLife = 1500 * time.Millisecond
 
+// shortHalfLife is the time in which the recent count of a key decays to half. It counts for keys that are hot, whose rate is
+// to be known within a fraction of a second.
+const (
+	shortHalfLife        = halfLife / shortHalfLifeDivisor
+	shortHalfLifeDivisor = 5
+)
+
 // pruneInterval is the time between two passes over all keys to drop those with few requests.
 const pruneInterval = time.Second
 
@@ -33,11 +40,13 @@
 // WithRequest counts one more request for a key.
 func (l Load) WithRequest(key int, now time.Time) Load {
 	c, _ := l.keys.Get(key)
-	l.keys = l.keys.Set(key, count{value: c.decayedAt(now) + 1, updatedAt: now})
+	c = c.decayedAt(now)
+	c.value, c.recent = c.value+1, c.recent+1
+	l.keys = l.keys.Set(key, c)
 	return l
 }
 
-// Rates returns the request rate of each key at now.
+// Rates returns the request rate of each key at now: over the last halfLife, or over the last shortHalfLife for hot keys.
 func (l Load) Rates(now time.Time) keyrates.Rates {
 	all := make([]keyCount, 0, l.keys.Len())
 	for itr := l.keys.Iterator(); !itr.Done(); {
@@ -45,12 +54,11 @@
 		all = append(all, keyCount{key: key, count: c.decayedAt(now)})
 	}
 	slices.SortFunc(all, func(a, b keyCount) int { return a.key - b.key })
-	keys, rates := make([]int, len(all)), make([]float64, len(all))
+	keys := make([]int, len(all))
 	for i, k := range all {
-		// At a constant rate, a count settles at rate * halfLife / ln 2.
-		keys[i], rates[i] = k.key, k.count*math.Ln2/halfLife.Seconds()
+		keys[i] = k.key
 	}
-	return keyrates.New(keys, rates)
+	return keyrates.New(keys, presentRates(all))
 }
 
 // Pruned returns the load without the keys whose count has decayed below minCount. It does nothing within pruneInterval of the
@@ -61,7 +69,7 @@
 	}
 	keys := l.keys
 	for itr := l.keys.Iterator(); !itr.Done(); {
-		if key, c, _ := itr.Next(); c.decayedAt(now) < minCount {
+		if key, c, _ := itr.Next(); c.decayedAt(now).value < minCount {
 			keys = keys.Delete(key)
 		}
 	}
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -9,8 +9,13 @@
 	"redwingsill/core/reshard"
 )
 
-// serversPerMove is how many backend servers of a service there are for each of its ranges that may move at the same time.
-const serversPerMove = 16
+const (
+	// serversPerMove is how many backend servers of a service there are for each of its ranges that may move at the same time.
+	serversPerMove = 16
+	// serversPerSpread is that number for ranges with hot keys, which no server can serve alone. Their moves share one write,
+	// and a release and a grant each take some 0.2 ms of the coordinator's processor.
+	serversPerSpread = 2
+)
 
 // maxRatesAge is the age up to which the rates of keys are used to plan moves for waiting requests. Reading the rates of
 // thousands of keys takes milliseconds.
@@ -23,7 +28,7 @@
 	if !isBalancing && (now.Sub(o.plannedAt) < o.timing.WaitingInterval || q.Waiting() == 0 && !o.hasOrphans()) {
 		return o
 	}
-	if len(o.moves) >= o.maxMoves() && !o.hasOrphans() {
+	if len(o.moves) >= o.maxSpread() && !o.hasOrphans() {
 		return o
 	}
 	if o.mayInheritedGrantArrive(now) && len(o.keys.Gaps()) == 0 {
@@ -36,7 +41,10 @@
 	if isBalancing || now.Sub(o.ratesAt) >= maxRatesAge {
 		o.rates, o.ratesAt = q.KeyLoad().Rates(now), now
 	}
-	capacities := map[string]float64{}
+	if isBalancing {
+		o.steady = o.steady.With(o.rates, now)
+	}
+	capacities, slots := map[string]float64{}, map[string]int{}
 	for incarnation, m := range o.members {
 		if !o.canOwn(incarnation) {
 			continue
@@ -45,7 +53,7 @@
 		if c, ok := o.capacities[incarnation]; ok {
 			capacity = c
 		}
-		capacities[incarnation] = capacity
+		capacities[incarnation], slots[incarnation] = capacity, max(1, m.Slots)
 	}
 	targets := make([]holding.Holding, 0, len(o.moves))
 	for r, m := range o.moves {
@@ -56,8 +64,17 @@
 	if len(keys.Holdings()) == 0 || len(keys.Gaps()) > 0 {
 		maxMoves = max(maxMoves, len(capacities))
 	}
-	for _, planned := range reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), q.MeanServiceTime()).WithRecentlyMoved(o.recentlyMoved(now)).Moves(max(0, maxMoves), isBalancing) {
-		if len(o.moves) >= o.maxMoves() && !o.isOrphan(planned.Range) {
+	serviceTime := o.serviceTime
+	if serviceTime <= 0 {
+		serviceTime = q.MeanServiceTime()
+	}
+	plan := reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), serviceTime).WithRecentlyMoved(o.recentlyMoved(now)).
+		WithSpread(o.maxSpread()-len(o.moves)).WithObjective(o.objective, slots)
+	if isBalancing {
+		plan = plan.WithSteady(o.steady.Rates())
+	}
+	for _, planned := range plan.Moves(max(0, maxMoves), isBalancing) {
+		if len(o.moves) >= o.maxSpread() && !o.isOrphan(planned.Range) {
 			break
 		}
 		for _, r := range o.movableParts(planned.Range) {
@@ -71,6 +88,9 @@
 // or are lost at the same time.
 func (o Ownership) maxMoves() int { return max(o.timing.MaxMoves, len(o.members)/serversPerMove) }
 
+// maxSpread returns how many ranges may move at the same time while hot keys are spread.
+func (o Ownership) maxSpread() int { return max(o.maxMoves(), len(o.members)/serversPerSpread) }
+
 // recentlyMoved returns the ranges that their owners got less than MoveCooldown ago.
 func (o Ownership) recentlyMoved(now time.Time) []keyrange.Range {
 	var ranges []keyrange.Range
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -18,7 +18,7 @@
 	var commands []command.Command
 	if now.Before(o.movesUntil) {
 		// Tokens are reserved before they run out, so that moves don't wait for the write.
-		if o.lastFence+int64(o.maxMoves())*spareFencesPerMove > o.reservedFence && o.pendingSave == 0 {
+		if o.lastFence+int64(o.maxSpread())*spareFencesPerMove > o.reservedFence && o.pendingSave == 0 {
 			o, commands = o.withSave(commands, true)
 		}
 		if !now.Before(o.settledAt) {
--- a/core/reshard/reshard.go
+++ b/core/reshard/reshard.go
@@ -11,6 +11,7 @@
 	"redwingsill/core/keyrange"
 	"redwingsill/core/keyrates"
 	"redwingsill/core/ownerload"
+	"redwingsill/core/timelyload"
 )
 
 const (
@@ -56,6 +57,49 @@
 	moves           []holding.Holding
 	// recentlyMoved lists the ranges that should stay with their owners, since they moved a short time ago.
 	recentlyMoved []keyrange.Range
+	// spreadLimit is how many ranges may move in total if hot keys of overloaded servers are spread.
+	spreadLimit int
+	// steady are the rates of the last seconds, by which shares are levelled, and targets the loads that the owners should have
+	// of these. There are none unless WithSteady was called.
+	steady  keyrates.Rates
+	targets []float64
+	// objective is the time within which requests should be answered, or 0, and slots gives how many requests each
+	// incarnation runs concurrently.
+	objective time.Duration
+	slots     map[string]int
+}
+
+// WithObjective sets the time within which requests should be answered, or 0 if that is not known, and how many requests each
+// incarnation runs concurrently.
+func (p Plan) WithObjective(objective time.Duration, slots map[string]int) Plan {
+	p.objective, p.slots = objective, slots
+	return p
+}
+
+// WithSteady sets the rates of the last seconds. The keys are then shared out so that most requests end within the objective.
+func (p Plan) WithSteady(rates keyrates.Rates) Plan {
+	p.steady = rates
+	counts, capacities := make([]int, len(p.owners)), make([]float64, len(p.owners))
+	p.owners = slices.Clone(p.owners)
+	for i, o := range p.owners {
+		counts[i], capacities[i] = p.slots[o.incarnation], o.capacity
+	}
+	total := 0.0
+	for _, h := range p.keys.Holdings() {
+		if i := p.indexOf(h.Owner); i >= 0 {
+			load := rates.Sum(h.Range) * p.meanServiceTime.Seconds()
+			p.owners[i].steadyLoad += load
+			total += load
+		}
+	}
+	p.targets = timelyload.New(p.meanServiceTime, p.objective).Loads(counts, capacities, total)
+	return p
+}
+
+// WithSpread sets how many ranges may move in total if hot keys of overloaded servers are spread.
+func (p Plan) WithSpread(limit int) Plan {
+	p.spreadLimit = limit
+	return p
 }
 
 // WithRecentlyMoved sets the ranges that should stay with their owners, since they moved a short time ago. They move
@@ -102,11 +146,16 @@
 	}
 	p.moves = nil
 	p.reassignOrphans()
+	p.spreadSurges(p.spreadLimit)
 	p.serveWaiting(limit)
 	if isBalancing {
 		p.moveHottestKey(limit)
 		p.seedEmptyServers(limit)
-		p.relieveOverloaded(limit)
+		if p.targets != nil {
+			p.levelShares(max(limit, p.spreadLimit))
+		} else {
+			p.relieveOverloaded(limit)
+		}
 		p.joinSmallRanges(limit)
 	}
 	return p.moves
--- a/io/coordination/services.go
+++ b/io/coordination/services.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"redwingsill/core/instance"
 )
 
 // loadNewServices loads the owners of sharded services that the coordinator does not manage yet.
@@ -41,24 +39,12 @@
 	}
 	if now.Sub(service.capacitiesAt) >= c.timing.WaitingInterval {
 		service.capacitiesAt = now
-		service.state = service.state.WithCapacities(capacities(members, p.Slowness()))
+		service.speeds = service.speeds.With(p.Slowness(), p.MeanServiceTime(), now)
+		service.state = service.state.WithCapacities(service.speeds.Capacities(members), service.speeds.ServiceTime()).
+			WithObjective(c.routing.Read().Table.Objective(name))
 	}
 	state, commands := service.state.WithTick(p, now)
 	service.state = state
 	c.reportEvents(name, service, now)
 	c.execute(name, service, commands, now)
 }
-
-// capacities returns, by incarnation, how many requests of average duration each backend server runs concurrently. The
-// slownesses are the servers' response times relative to the service's average, by incarnation.
-func capacities(members []instance.Instance, slownesses map[string]float64) map[string]float64 {
-	all := make(map[string]float64, len(members))
-	for _, m := range members {
-		slowness, ok := slownesses[m.Incarnation()]
-		if !ok {
-			slowness = 1
-		}
-		all[m.Incarnation()] = float64(m.Slots) / min(maxSlowness, max(minSlowness, slowness))
-	}
-	return all
-}
--- a/io/coordination/shardedservice.go
+++ b/io/coordination/shardedservice.go
@@ -6,6 +6,7 @@
 	"redwingsill/core/command"
 	"redwingsill/core/instance"
 	"redwingsill/core/ownership"
+	"redwingsill/core/serverspeed"
 )
 
 // shardedService is the coordinator's state of a service whose keys have owners.
@@ -24,6 +25,8 @@
 	members []instance.Instance
 	// completions has the results of the grants that have completed since the last step.
 	completions []command.Completion
+	// speeds are the servers' speeds of the last seconds.
+	speeds serverspeed.Speeds
 	// capacitiesAt is when the servers' capacities were last computed.
 	capacitiesAt time.Time
 }
