Spread hot keys again that moved a short time ago

The first arrivals for hot keys underestimate their rates, and the parts that were too large then stayed for MoveCooldown.

--- a/core/ownership/keyedload_test.go
+++ b/core/ownership/keyedload_test.go
@@ -55,6 +55,7 @@
 			if testing.Short() && l.servers > 100 {
 				t.Skip("takes seconds")
 			}
+			t.Parallel()
 			r := play(l, 7)
 			t.Logf("%-22s served %.3f, %.3f in the last 10 s; bound %.3f; moves %d, keys %d; planning %v", l.name, r.servedShare(0), r.servedShare(1), l.bound(),
 				r.moves, r.keys, r.planning.Round(time.Millisecond))
@@ -65,34 +66,36 @@
 	}
 }
 
-// bound returns the share of requests that could be served if the best single owner of each key were known at once, without
-// queues by chance.
+// bound returns the share of requests that would be answered in time if the best owner of each key were known at once and no
+// request waited: the fastest servers are filled first, and a key has at most one server.
 func (l keyedLoad) bound() float64 {
-	loads, capacities, total, served := make([]float64, l.servers), make([]float64, l.servers), l.rate*l.work.Seconds(), 0.0
-	for i := range capacities {
-		capacities[i] = float64(l.slots) * l.speeds[i%len(l.speeds)] / meanNoise
+	total, fastest, served := l.rate*l.work.Seconds(), slices.Max(l.speeds), 0.0
+	left := total * (1 - l.hotShare)
+	left += min(total*l.hotShare, float64(l.hotKeys)*float64(l.slots)*fastest/meanNoise)
+	speeds := make([]float64, l.servers)
+	for i := range speeds {
+		speeds[i] = -l.speeds[i%len(l.speeds)]
 	}
-	parts := slices.Repeat([]float64{total * l.hotShare / float64(l.hotKeys)}, l.hotKeys)
-	parts = append(parts, slices.Repeat([]float64{total * (1 - l.hotShare) / 10000}, 10000)...)
-	for _, load := range parts {
-		best := 0
-		for i := range loads {
-			if (loads[i]+load)/capacities[i] < (loads[best]+load)/capacities[best] {
-				best = i
-			}
-		}
-		loads[best] += load
-	}
-	for i := range loads {
-		served += min(loads[i], capacities[i])
+	slices.Sort(speeds)
+	for _, speed := range speeds {
+		load := min(left, float64(l.slots)*-speed/meanNoise)
+		left -= load
+		relative := l.objective.Seconds() / l.work.Seconds() * -speed
+		served += load * ((1-noiseShare)*endsWithin(relative) + noiseShare*endsWithin(relative/noiseFactor))
 	}
 	return served / total
 }
 
+// endsWithin returns the probability that work ends within a multiple of its mean time.
+func endsWithin(relative float64) float64 {
+	return math.Erfc(-(math.Log(relative)+workSpread*workSpread/2)/workSpread/math.Sqrt2) / 2
+}
+
 const (
 	noiseTime   = 400 * time.Millisecond
 	noiseShare  = 0.2
 	noiseFactor = 3
+	workSpread  = 0.3
 	meanNoise   = 1 + noiseShare*(noiseFactor-1)
 	warmUp      = 10 * time.Second
 	stepTime    = 5 * time.Millisecond
@@ -249,7 +252,7 @@
 			for len(s.waiting) > 0 && len(s.running) < l.slots {
 				r := s.waiting[0]
 				s.waiting = s.waiting[1:]
-				work := l.work.Seconds() / speed * math.Exp(0.3*rng.NormFloat64()-0.045)
+				work := l.work.Seconds() / speed * math.Exp(workSpread*rng.NormFloat64()-workSpread*workSpread/2)
 				if s.isNoisy {
 					work *= noiseFactor
 				}
--- a/core/reshard/spread.go
+++ b/core/reshard/spread.go
@@ -72,14 +72,15 @@
 	return high
 }
 
-// spread moves hot keys of the owner at index from until its utilisation is at most the level. Hot keys with running requests
+// spread moves hot keys of the owner at index from until its utilisation is at most the level, also those that moved a short time
+// ago: the first arrivals may have told too little of their rates. Hot keys with running requests
 // stay as far as the owner can serve them, since they could move only after these have ended.
 func (p *Plan) spread(from int, cut weightedcut.Cut, level float64, limit int) {
 	o := p.owners[from]
 	var spans []hotSpan
 	hot := 0.0
 	for _, h := range p.keys.Holdings() {
-		if h.Owner == o.incarnation && h.Fence != movedFence && !p.isRecentlyMoved(h.Range) {
+		if h.Owner == o.incarnation && h.Fence != movedFence {
 			if s := p.hotSpanIn(h.Range, minHotKeyShare*p.meanCapacity()); len(s.keys) > 0 {
 				spans = append(spans, s)
 				hot += s.load
