Weigh moves against their cost, and join more ranges where there are many servers

core/movecost gives what a move costs in requests; moves that spread hot keys, level shares or serve waiting requests are left out if they don't pay. A key far above its owner keeps the fastest server for itself. Six joins in 400 ms did not keep up with the ranges that hot keys leave, and each range is renewed every 1.1 s.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -70,6 +70,8 @@
 	// steady are the rates of the last seconds, and objective is the time within which requests should be answered, or 0.
 	steady    steadyrates.Steady
 	objective time.Duration
+	// keyWarmUp is how long keys are cold at a new owner that did not get their state.
+	keyWarmUp time.Duration
 	// isDeposed is set once a write to the store has failed.
 	isDeposed bool
 	// events is what happened since the last WithoutEvents.
@@ -138,6 +140,12 @@
 	return o
 }
 
+// WithKeyWarmUp sets how long keys are cold at a new owner that did not get their state.
+func (o Ownership) WithKeyWarmUp(warmUp time.Duration) Ownership {
+	o.keyWarmUp = warmUp
+	return o
+}
+
 // Keys returns the map last written to the store.
 func (o Ownership) Keys() keymap.Map { return o.keys }
 
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -5,6 +5,7 @@
 
 	"redwingsill/core/holding"
 	"redwingsill/core/keyrange"
+	"redwingsill/core/movecost"
 	"redwingsill/core/ownershipevent"
 	"redwingsill/core/reshard"
 )
@@ -69,7 +70,7 @@
 		serviceTime = q.MeanServiceTime()
 	}
 	plan := reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), serviceTime).WithRecentlyMoved(o.recentlyMoved(now)).
-		WithSpread(o.maxSpread()-len(o.moves)).WithObjective(o.objective, slots)
+		WithSpread(o.maxSpread()-len(o.moves)).WithObjective(o.objective, slots).WithCost(movecost.New(o.keyWarmUp))
 	if isBalancing {
 		plan = plan.WithSteady(o.steady.Rates())
 	}
--- a/core/reshard/level.go
+++ b/core/reshard/level.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"redwingsill/core/holding"
 	"redwingsill/core/keyrange"
@@ -14,6 +15,10 @@
 	levelHysteresis = 0.2
 	// minLevelLoad is the lowest load, in concurrent requests, that is worth a move.
 	minLevelLoad = 0.1
+	// levelHorizon is the time for which a server's speed and its share of the load are expected to last, and levelGain the
+	// share of the moved requests that are in time only at the new owner.
+	levelHorizon = 20 * time.Second
+	levelGain    = 0.05
 )
 
 // levelShares moves ranges from servers whose steady load exceeds their target to servers below theirs, so that keys are shared
@@ -82,7 +87,8 @@
 			}
 			want := min(p.surplus(from), -p.surplus(target))
 			r, load := p.endOf(holdings[n].Range, side, want)
-			if load >= minLevelLoad/2 && weight*load > highest && p.loadIn(r) <= 2*want {
+			rate := load / p.meanServiceTime.Seconds()
+			if load >= minLevelLoad/2 && p.cost.Pays(levelGain*rate*levelHorizon.Seconds(), rate, p.runningWork(from, r)) && weight*load > highest && p.loadIn(r) <= 2*want {
 				best, to, highest = r, target, weight*load
 			}
 		}
@@ -90,6 +96,14 @@
 	return best, to
 }
 
+// runningWork returns how long work may still run on keys of a range of the owner at an index.
+func (p *Plan) runningWork(i int, r keyrange.Range) time.Duration {
+	if slices.ContainsFunc(p.ownerLoads[p.owners[i].incarnation].Running, r.Contains) {
+		return p.meanServiceTime
+	}
+	return 0
+}
+
 // endOf returns the part at the lower (-1) or upper (1) end of a range that has up to the wanted steady load, and its load.
 func (p *Plan) endOf(r keyrange.Range, side int, want float64) (keyrange.Range, float64) {
 	keys, rates := p.steady.In(r)
--- a/core/reshard/reshard.go
+++ b/core/reshard/reshard.go
@@ -10,6 +10,7 @@
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
 	"redwingsill/core/keyrates"
+	"redwingsill/core/movecost"
 	"redwingsill/core/ownerload"
 	"redwingsill/core/timelyload"
 )
@@ -39,8 +40,10 @@
 	// maxMeanHoldings is the mean number of ranges per owner above which small ones are joined. Each range is renewed
 	// by a call of its own. Above twice that mean, no range is cut for waiting requests.
 	maxMeanHoldings = 5
-	// maxJoins limits the ranges that one plan joins.
-	maxJoins = 6
+	// maxJoins limits the ranges that one plan joins. With many servers it is one for each ownersPerJoin of them, since hot keys
+	// that change every few seconds leave half as many ranges as there are servers.
+	maxJoins      = 6
+	ownersPerJoin = 8
 	// minRelievedUtilisation is the lowest utilisation that an overloaded server is relieved to.
 	minRelievedUtilisation = 0.4
 )
@@ -67,6 +70,7 @@
 	// incarnation runs concurrently.
 	objective time.Duration
 	slots     map[string]int
+	cost      movecost.Cost
 }
 
 // WithObjective sets the time within which requests should be answered, or 0 if that is not known, and how many requests each
@@ -76,6 +80,12 @@
 	return p
 }
 
+// WithCost sets the cost of moves that serve waiting requests, spread hot keys or level shares. Those that don't pay are left out.
+func (p Plan) WithCost(cost movecost.Cost) Plan {
+	p.cost = cost
+	return p
+}
+
 // WithSteady sets the rates of the last seconds. The keys are then shared out so that most requests end within the objective.
 func (p Plan) WithSteady(rates keyrates.Rates) Plan {
 	p.steady = rates
@@ -149,14 +159,14 @@
 	p.spreadSurges(p.spreadLimit)
 	p.serveWaiting(limit)
 	if isBalancing {
-		p.moveHottestKey(limit)
+		p.moveHottestKey(hotKeyShare, limit)
 		p.seedEmptyServers(limit)
 		if p.targets != nil {
 			p.levelShares(max(limit, p.spreadLimit))
 		} else {
 			p.relieveOverloaded(limit)
 		}
-		p.joinSmallRanges(limit)
+		p.joinSmallRanges(max(limit, p.spreadLimit/2))
 	}
 	return p.moves
 }
--- a/core/reshard/spread.go
+++ b/core/reshard/spread.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"redwingsill/core/holding"
 	"redwingsill/core/weightedcut"
@@ -19,6 +20,11 @@
 	// minHotKeyShare is the fraction of the mean capacity that a hot key uses at least. A key that has had two requests in the
 	// last second by chance uses less.
 	minHotKeyShare = 0.15
+	// aloneShare is the fraction of its owner's capacity from which a key has its owner for itself. A key that seems to use the
+	// whole server may be one of many hot keys whose rates are not known well yet.
+	aloneShare = 1.5
+	// surgeHorizon is the time for which a surge is expected to go on. Hot periods last several times as long.
+	surgeHorizon = time.Second
 	// levelSteps is the number of halvings that find the level. It gives three digits.
 	levelSteps = 10
 )
@@ -87,6 +93,10 @@
 			}
 		}
 	}
+	if key, load := p.hottestOf(spans); load >= aloneShare*o.capacity && minCapacityRatio*o.capacity > p.owners[p.largest()].capacity {
+		p.isolateKey(from, key, cut, limit)
+		return
+	}
 	excess := o.load - level*o.capacity
 	if hot < excess/2 {
 		return // the load is spread over many keys
@@ -99,14 +109,37 @@
 			keptLoad += load
 		}
 	}
-	var moved []holding.Holding
 	for _, s := range spans {
-		for _, part := range cut.Parts(s.in, s.keys, s.loads, func(key int) bool { return kept[key] }, excess, o.utilisation(), limit-len(p.moves)-len(moved)) {
-			excess -= part.Load
-			moved = append(moved, holding.Holding{Range: part.Range, Owner: p.owners[part.Target].incarnation})
+		excess -= p.moveParts(cut.Parts(s.in, s.keys, s.loads, func(key int) bool { return kept[key] }, excess, o.utilisation(), limit-len(p.moves)))
+	}
+}
+
+// hottestOf returns the key with the highest load, and that load.
+func (p *Plan) hottestOf(spans []hotSpan) (int, float64) {
+	hottest, highest := 0, 0.0
+	for _, s := range spans {
+		for i, load := range s.loads {
+			if load > highest {
+				hottest, highest = s.keys[i], load
+			}
+		}
+	}
+	return hottest, highest
+}
+
+// moveParts plans the moves of parts, and returns their load.
+func (p *Plan) moveParts(parts []weightedcut.Part) float64 {
+	moved, load := make([]holding.Holding, 0, len(parts)), 0.0
+	for _, part := range parts {
+		rate := part.Load / p.meanServiceTime.Seconds()
+		if !p.cost.Pays(rate*surgeHorizon.Seconds(), rate, 0) {
+			continue
 		}
+		moved = append(moved, holding.Holding{Range: part.Range, Owner: p.owners[part.Target].incarnation})
+		load += part.Load
 	}
 	p.moveAll(moved)
+	return load
 }
 
 func (p *Plan) meanCapacity() float64 {
--- a/core/reshard/waitingkeys.go
+++ b/core/reshard/waitingkeys.go
@@ -33,7 +33,7 @@
 				continue
 			}
 			r, ok := p.rangeAround(key, load.Running)
-			if !ok {
+			if !ok || !p.cost.Pays(1, p.rates.Sum(r), 0) {
 				continue
 			}
 			to := p.leastUsedWithFreeSlots(freeSlots)
--- a/io/coordination/services.go
+++ b/io/coordination/services.go
@@ -40,8 +40,9 @@
 	if now.Sub(service.capacitiesAt) >= c.timing.WaitingInterval {
 		service.capacitiesAt = now
 		service.speeds = service.speeds.With(p.Slowness(), p.MeanServiceTime(), now)
+		configured := c.routing.Read()
 		service.state = service.state.WithCapacities(service.speeds.Capacities(members), service.speeds.ServiceTime()).
-			WithObjective(c.routing.Read().Table.Objective(name))
+			WithObjective(configured.Table.Objective(name)).WithKeyWarmUp(configured.Services[name].KeyWarmUpTime)
 	}
 	state, commands := service.state.WithTick(p, now)
 	service.state = state
