--- a/core/keyload/keyload.go
+++ b/core/keyload/keyload.go
@@ -3,11 +3,11 @@
 package keyload
 
 import (
-	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
 
+	"redwingsill/core/keyrange"
 	"redwingsill/core/keyrates"
 )
 
@@ -37,8 +37,11 @@
 // New returns an empty load.
 func New() Load { return Load{keys: immutable.NewMap[int, count](nil)} }
 
-// WithRequest counts one more request for a key.
+// WithRequest counts one more request for a key. A key that does not exist is not counted.
 func (l Load) WithRequest(key int, now time.Time) Load {
+	if key < 0 || key > keyrange.MaxKey {
+		return l
+	}
 	c, _ := l.keys.Get(key)
 	c = c.decayedAt(now)
 	c.value, c.recent = c.value+1, c.recent+1
@@ -48,12 +51,21 @@
 
 // Rates returns the request rate of each key at now: over the last halfLife, or over the last shortHalfLife for hot keys.
 func (l Load) Rates(now time.Time) keyrates.Rates {
-	all := make([]keyCount, 0, l.keys.Len())
+	counted := make([]keyCount, 0, l.keys.Len())
+	// index has the position of each key in counted, from 1.
+	var index [keyrange.MaxKey + 1]int32
 	for itr := l.keys.Iterator(); !itr.Done(); {
 		key, c, _ := itr.Next()
-		all = append(all, keyCount{key: key, count: c.decayedAt(now)})
+		c = c.decayedAt(now)
+		counted = append(counted, keyCount{key: key, value: c.value, recent: c.recent})
+		index[key] = int32(len(counted))
+	}
+	all := make([]keyCount, 0, len(counted))
+	for _, n := range index {
+		if n > 0 {
+			all = append(all, counted[n-1])
+		}
 	}
-	slices.SortFunc(all, func(a, b keyCount) int { return a.key - b.key })
 	keys := make([]int, len(all))
 	for i, k := range all {
 		keys[i] = k.key
--- a/core/keyload/presentrates.go
+++ b/core/keyload/presentrates.go
@@ -44,12 +44,12 @@
 	first, end, recent, value := 0, 0, 0.0, 0.0
 	for i, k := range counts {
 		for ; end < len(counts) && counts[end].key <= k.key+hotWindow; end++ {
-			recent += counts[end].count.recent
-			value += counts[end].count.value
+			recent += counts[end].recent
+			value += counts[end].value
 		}
 		for ; counts[first].key < k.key-hotWindow; first++ {
-			recent -= counts[first].count.recent
-			value -= counts[first].count.value
+			recent -= counts[first].recent
+			value -= counts[first].value
 		}
 		isHot[i] = recent >= minHotCount || value >= minHotValue
 	}
--- a/core/reshard/reshard.go
+++ b/core/reshard/reshard.go
@@ -44,8 +44,9 @@
 	// that change every few seconds leave half as many ranges as there are servers.
 	maxJoins      = 6
 	ownersPerJoin = 8
-	// fewRanges is the number of ranges up to which renewals take the coordinator less than a tenth of a processor.
-	fewRanges = 400
+	// fewRanges is the number of ranges up to which moves that only shorten a wait pay. Their renewals are some 800 calls a
+	// second.
+	fewRanges = 900
 	// minRelievedUtilisation is the lowest utilisation that an overloaded server is relieved to.
 	minRelievedUtilisation = 0.4
 )
