Hot keys and shares don't move to servers that warm up, leave, back off or fail

A server with running requests and no free slots was a target, also if it had backed off. OwnerLoad now says that it is unfit.

--- a/core/reshard/spread.go
+++ b/core/reshard/spread.go
@@ -55,11 +55,8 @@
 	}
 }
 
-// isTarget reports whether a server may receive hot keys. One that neither runs a request nor is free is warming up or fails.
-func (p *Plan) isTarget(o owner) bool {
-	load, ok := p.ownerLoads[o.incarnation]
-	return !ok || load.Free > 0 || len(load.Running) > 0
-}
+// isTarget reports whether a server may receive keys to spread hot ones or to level shares.
+func (p *Plan) isTarget(o owner) bool { return !p.ownerLoads[o.incarnation].IsUnfit }
 
 // spreadLevel returns the lowest utilisation, of minSpreadLevel or more, at which servers have the given room, or 1.
 func spreadLevel(capacities, loads []float64, want float64) float64 {
