--- a/core/keyload/count.go
+++ b/core/keyload/count.go
@@ -5,21 +5,15 @@
 	"time"
 )
 
-// count is a number of requests that decays exponentially, once with halfLife and once with shortHalfLife, valid at updatedAt.
+// count is an exponentially decaying number of requests, valid at updatedAt.
 type count struct {
 	value     float64
-	recent    float64
 	updatedAt time.Time
 }
 
-func (c count) decayedAt(now time.Time) count {
+func (c count) decayedAt(now time.Time) float64 {
 	if c.value == 0 {
-		return count{updatedAt: now}
+		return 0
 	}
-	decay := math.Exp2(-now.Sub(c.updatedAt).Seconds() / halfLife.Seconds())
-	fast := decay
-	for range shortHalfLifeDivisor - 1 {
-		fast *= decay
-	}
-	return count{value: c.value * decay, recent: c.recent * fast, updatedAt: now}
+	return c.value * math.Exp2(-now.Sub(c.updatedAt).Seconds()/halfLife.Seconds())
 }
--- a/core/keyrates/keyrates.go
+++ b/core/keyrates/keyrates.go
@@ -2,7 +2,6 @@
 package keyrates
 
 import (
-	"slices"
 	"sort"
 
 	"redwingsill/core/keyrange"
@@ -38,14 +37,6 @@
 	return r.sums[to] - r.sums[from]
 }
 
-// Of returns the rate of a key.
-func (r Rates) Of(key int) float64 {
-	if i, ok := slices.BinarySearch(r.keys, key); ok {
-		return r.rates[i]
-	}
-	return 0
-}
-
 // Hottest returns the key with the highest rate, and that rate, which is 0 if there are no requests.
 func (r Rates) Hottest() (int, float64) {
 	key, highest := 0, 0.0
--- a/core/ownerload/ownerload.go
+++ b/core/ownerload/ownerload.go
@@ -7,8 +7,7 @@
 	Waiting []int
 	// Running lists the keys of the requests that run at the owner.
 	Running []int
-	// Free is the number of further requests that the owner can run now. It is 0 while IsUnfit is set.
+	// Free is the number of further requests that the owner can run now. It is 0 while the owner warms up, is leaving,
+	// has not answered since a backoff or fails often.
 	Free int
-	// IsUnfit is set while the owner warms up, is leaving, has not answered since a backoff or fails often.
-	IsUnfit bool
 }
--- a/core/ownership/cold.go
+++ b/core/ownership/cold.go
@@ -8,15 +8,12 @@
 const coldMovesDivisor = 2
 
 // coldMoves returns how many more ranges may move at the same time at now because servers are cold.
-func (o Ownership) coldMoves(now time.Time) int { return len(o.coldMembers(now)) / coldMovesDivisor }
-
-// coldMembers returns the incarnations of the members that are cold and whose requests are limited.
-func (o Ownership) coldMembers(now time.Time) map[string]bool {
-	cold := map[string]bool{}
-	for incarnation, m := range o.members {
+func (o Ownership) coldMoves(now time.Time) int {
+	cold := 0
+	for _, m := range o.members {
 		if m.IsColdLimited(now) {
-			cold[incarnation] = true
+			cold++
 		}
 	}
-	return cold
+	return cold / coldMovesDivisor
 }
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -13,7 +13,6 @@
 	"redwingsill/core/keyrange"
 	"redwingsill/core/keyrates"
 	"redwingsill/core/ownershipevent"
-	"redwingsill/core/steadyrates"
 )
 
 // Ownership is the coordinator's state for one service. It is immutable.
@@ -49,9 +48,7 @@
 	renewals map[keyrange.Range]*renewal
 	moves    map[keyrange.Range]move
 	// capacities is how many requests of average duration each incarnation runs concurrently.
-	capacities map[string]float64
-	// serviceTime is the average duration of a request, or 0 if the queues tell it.
-	serviceTime     time.Duration
+	capacities      map[string]float64
 	pendingGrants   map[int64]pendingGrant
 	pendingReleases map[int64]pendingRelease
 	// pendingSave is the ID of the write in flight, or 0, and savingRanges the ranges that it moves.
@@ -72,11 +69,6 @@
 	mapState  mapState
 	lostUntil time.Time // when a state with mapLost ends
 	isUnheld  bool
-	// steady are the rates of the last seconds, and objective is the time within which requests should be answered, or 0.
-	steady    steadyrates.Steady
-	objective time.Duration
-	// keyWarmUp is how long keys are cold at a new owner that did not get their state.
-	keyWarmUp time.Duration
 	// isDeposed is set once a write to the store has failed.
 	isDeposed bool
 	// events is what happened since the last WithoutEvents.
@@ -132,22 +124,10 @@
 	return o
 }
 
-// WithCapacities sets how many requests of average duration each incarnation runs concurrently, and that duration. For an
-// incarnation that is not in the map, the Slots of its instance count.
-func (o Ownership) WithCapacities(capacities map[string]float64, serviceTime time.Duration) Ownership {
-	o.capacities, o.serviceTime = capacities, serviceTime
-	return o
-}
-
-// WithObjective sets the time within which requests should be answered, or 0 if it is not known.
-func (o Ownership) WithObjective(objective time.Duration) Ownership {
-	o.objective = objective
-	return o
-}
-
-// WithKeyWarmUp sets how long keys are cold at a new owner that did not get their state.
-func (o Ownership) WithKeyWarmUp(warmUp time.Duration) Ownership {
-	o.keyWarmUp = warmUp
+// WithCapacities sets how many requests of average duration each incarnation runs concurrently. For one that is not in
+// the map, the Slots of its instance count.
+func (o Ownership) WithCapacities(capacities map[string]float64) Ownership {
+	o.capacities = capacities
 	return o
 }
 
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -5,18 +5,12 @@
 
 	"redwingsill/core/holding"
 	"redwingsill/core/keyrange"
-	"redwingsill/core/movecost"
 	"redwingsill/core/ownershipevent"
 	"redwingsill/core/reshard"
 )
 
-const (
-	// serversPerMove is how many backend servers of a service there are for each of its ranges that may move at the same time.
-	serversPerMove = 16
-	// serversPerSpread is that number for ranges with hot keys, which no server can serve alone. Their moves share one write,
-	// and a release and a grant each take some 0.2 ms of the coordinator's processor.
-	serversPerSpread = 2
-)
+// serversPerMove is how many backend servers of a service there are for each of its ranges that may move at the same time.
+const serversPerMove = 16
 
 // maxRatesAge is the age up to which the rates of keys are used to plan moves for waiting requests. Reading the rates of
 // thousands of keys takes milliseconds.
@@ -29,7 +23,7 @@
 	if !isBalancing && (now.Sub(o.plannedAt) < o.timing.WaitingInterval || q.Waiting() == 0 && !o.hasOrphans()) {
 		return o
 	}
-	limit := o.maxSpread() + o.coldMoves(now)
+	limit := o.maxMoves() + o.coldMoves(now)
 	if len(o.moves) >= limit && !o.hasOrphans() {
 		return o
 	}
@@ -43,13 +37,10 @@
 	if isBalancing || now.Sub(o.ratesAt) >= maxRatesAge {
 		o.rates, o.ratesAt = q.KeyLoad().Rates(now), now
 	}
-	if isBalancing {
-		o.steady = o.steady.With(o.rates, now)
-	}
-	capacities, slots := map[string]float64{}, map[string]int{}
-	for incarnation, m := range o.members {
+	capacities := map[string]float64{}
+	for incarnation := range o.members {
 		if o.canOwn(incarnation) {
-			capacities[incarnation], slots[incarnation] = o.capacityOf(incarnation), max(1, m.Slots)
+			capacities[incarnation] = o.capacityOf(incarnation)
 		}
 	}
 	targets := make([]holding.Holding, 0, len(o.moves))
@@ -57,20 +48,12 @@
 		targets = append(targets, holding.Holding{Range: r, Owner: m.to, Fence: m.toFence})
 	}
 	keys := o.keys.WithAll(targets)
-	maxMoves := o.maxMoves() + o.coldMoves(now) - len(o.moves)
+	maxMoves := limit - len(o.moves)
 	if len(keys.Holdings()) == 0 || len(keys.Gaps()) > 0 {
 		maxMoves = max(maxMoves, len(capacities))
 	}
-	serviceTime := o.serviceTime
-	if serviceTime <= 0 {
-		serviceTime = q.MeanServiceTime()
-	}
-	plan := reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), serviceTime).WithRecentlyMoved(o.recentlyMoved(now)).
-		WithSpread(limit-len(o.moves)).WithObjective(o.objective, slots).WithCost(movecost.New(o.keyWarmUp)).WithCold(o.coldMembers(now))
-	if isBalancing {
-		plan = plan.WithSteady(o.steady.Rates())
-	}
-	for _, planned := range o.withoutLaterEvacuations(plan.Moves(max(0, maxMoves), isBalancing), now) {
+	planner := reshard.New(keys, capacities, o.rates, q.OwnerLoads(now), q.MeanServiceTime()).WithRecentlyMoved(o.recentlyMoved(now))
+	for _, planned := range o.withoutLaterEvacuations(planner.Moves(max(0, maxMoves), isBalancing), now) {
 		if len(o.moves) >= limit && !o.isOrphan(planned.Range) {
 			break
 		}
@@ -85,9 +68,6 @@
 // or are lost at the same time.
 func (o Ownership) maxMoves() int { return max(o.timing.MaxMoves, len(o.members)/serversPerMove) }
 
-// maxSpread returns how many ranges may move at the same time while hot keys are spread.
-func (o Ownership) maxSpread() int { return max(o.maxMoves(), len(o.members)/serversPerSpread) }
-
 // recentlyMoved returns the ranges that their owners got less than MoveCooldown ago.
 func (o Ownership) recentlyMoved(now time.Time) []keyrange.Range {
 	var ranges []keyrange.Range
--- a/core/ownership/tick.go
+++ b/core/ownership/tick.go
@@ -26,7 +26,7 @@
 		}
 	default:
 		// Tokens are reserved before they run out, so that moves don't wait for the write.
-		if o.lastFence+int64(o.maxSpread())*spareFencesPerMove > o.reservedFence && o.pendingSave == 0 {
+		if o.lastFence+int64(o.maxMoves())*spareFencesPerMove > o.reservedFence && o.pendingSave == 0 {
 			o, commands = o.withSave(commands, true)
 		}
 		if !now.Before(o.settledAt) {
--- a/core/pool/ownerloads.go
+++ b/core/pool/ownerloads.go
@@ -8,15 +8,14 @@
 )
 
 // OwnerLoads returns the keys of waiting and running requests and the free slots of each server, by incarnation. Requests that were
-// refused at their arrival a short time ago count as waiting. No free slots are reported for a server that is unfit: warming up or
-// leaving, that has not answered a request since it last backed off, or whose failure rate exceeds that of all servers by maxFailureRate.
+// refused at their arrival a short time ago count as waiting. No free slots are reported for a server that is warming up or leaving, that
+// has not answered a request since it last backed off, or whose failure rate exceeds that of all servers by maxFailureRate.
 func (p Pool) OwnerLoads(now time.Time) map[string]ownerload.OwnerLoad {
 	meanFailureRate := p.meanFailureRate()
 	loads := make(map[string]ownerload.OwnerLoad, len(p.servers))
 	for n, s := range p.servers {
-		load := ownerload.OwnerLoad{IsUnfit: s.instance.IsLeaving || s.backoffs > 0 || s.excessFailureRate(meanFailureRate) > maxFailureRate ||
-			now.Before(s.instance.WarmUpEnd)}
-		if !load.IsUnfit {
+		load := ownerload.OwnerLoad{}
+		if !s.instance.IsLeaving && s.backoffs == 0 && s.excessFailureRate(meanFailureRate) <= maxFailureRate && !now.Before(s.instance.WarmUpEnd) {
 			load.Free = max(0, s.freeSlots(p.share, now))
 		}
 		p.queues[n].Each(func(r slotrequest.SlotRequest) bool {
--- a/core/reshard/join.go
+++ b/core/reshard/join.go
@@ -3,10 +3,10 @@
 import "redwingsill/core/holding"
 
 // joinSmallRanges moves the smallest ranges to the owner of an adjacent range, so that the two can be joined, while
-// there are more than maxMeanHoldings ranges per owner on average. It plans at most maxJoins moves, or one for each ownersPerJoin owners, and none once the
+// there are more than maxMeanHoldings ranges per owner on average. It plans at most maxJoins moves, and none once the
 // plan has limit moves in total. Ranges that moved recently and owners with waiting requests are left out.
 func (p *Plan) joinSmallRanges(limit int) {
-	for joined := 0; joined < max(maxJoins, len(p.owners)/ownersPerJoin) && len(p.moves) < limit; joined++ {
+	for joined := 0; joined < maxJoins && len(p.moves) < limit; joined++ {
 		holdings := p.keys.Holdings()
 		if len(holdings) <= maxMeanHoldings*len(p.owners) {
 			return
--- a/core/reshard/overload.go
+++ b/core/reshard/overload.go
@@ -6,26 +6,13 @@
 
 // relieveOverloaded moves ranges with load from the busiest servers to the least used ones.
 func (p *Plan) relieveOverloaded(limit int) {
-	p.relieve(overloadThreshold, limit, func(owner) bool { return true })
-}
-
-// relieveCold moves ranges with more load than they can run from cold servers to the least used ones. Shares are levelled in small
-// steps, which takes longer than a warm-up.
-func (p *Plan) relieveCold(limit int) {
-	if len(p.cold) > 0 {
-		p.relieve(fullUtilisation, limit, func(o owner) bool { return p.cold[o.incarnation] })
-	}
-}
-
-// relieve moves ranges with load from the busiest of some servers, from a utilisation on, to the least used ones.
-func (p *Plan) relieve(threshold float64, limit int, isIncluded func(owner) bool) {
 	for tries := 0; len(p.moves) < limit && tries < 2*limit; tries++ {
-		from, to := p.busiestOf(isIncluded), p.leastUsed()
+		from, to := p.busiest(), p.leastUsed()
 		if from < 0 || from == to {
 			return
 		}
 		busy, idle, mean := p.owners[from], p.owners[to], p.meanUtilisation()
-		if busy.utilisation() < threshold || busy.utilisation() < minImbalance*mean || idle.utilisation() > maxTargetUtilisation {
+		if busy.utilisation() < overloadThreshold || busy.utilisation() < minImbalance*mean || idle.utilisation() > maxTargetUtilisation {
 			return
 		}
 		target := min(overloadThreshold, max(mean, minRelievedUtilisation))
--- a/core/reshard/owner.go
+++ b/core/reshard/owner.go
@@ -7,8 +7,6 @@
 	capacity float64
 	// load is the mean number of concurrent requests for its keys.
 	load float64
-	// steadyLoad is that number over the last seconds.
-	steadyLoad float64
 	// keyCount is the number of keys that it owns.
 	keyCount int
 	// hasNoMovableRange is set once no range of its keys was found that has load and may move.
--- a/core/reshard/reshard.go
+++ b/core/reshard/reshard.go
@@ -10,16 +10,12 @@
 	"redwingsill/core/keymap"
 	"redwingsill/core/keyrange"
 	"redwingsill/core/keyrates"
-	"redwingsill/core/movecost"
 	"redwingsill/core/ownerload"
-	"redwingsill/core/timelyload"
 )
 
 const (
 	// overloadThreshold is the utilisation from which a server gives keys away. Above it queues grow fast.
 	overloadThreshold = 0.7
-	// fullUtilisation is the utilisation from which a server can't run its load.
-	fullUtilisation = 1
 	// minImbalance is how many times the mean utilisation a server must reach before it gives keys away.
 	minImbalance = 1.25
 	// maxTargetUtilisation is the utilisation up to which a server receives keys.
@@ -42,14 +38,8 @@
 	// maxMeanHoldings is the mean number of ranges per owner above which small ones are joined. Each range is renewed
 	// by a call of its own. Above twice that mean, no range is cut for waiting requests.
 	maxMeanHoldings = 5
-	// maxJoins limits the ranges that one plan joins. With many servers it is one for each ownersPerJoin of them, since hot keys
-	// that change every few seconds leave half as many ranges as there are servers.
-	maxJoins      = 6
-	ownersPerJoin = 8
-	// fewRanges is the number of ranges up to which moves that only shorten a wait pay. It is well below the number from which
-	// ranges are joined in services of hundreds of servers; at 900 such moves and joins of 176 servers followed each other
-	// without end.
-	fewRanges = 400
+	// maxJoins limits the ranges that one plan joins.
+	maxJoins = 6
 	// minRelievedUtilisation is the lowest utilisation that an overloaded server is relieved to.
 	minRelievedUtilisation = 0.4
 )
@@ -66,64 +56,6 @@
 	moves           []holding.Holding
 	// recentlyMoved lists the ranges that should stay with their owners, since they moved a short time ago.
 	recentlyMoved []keyrange.Range
-	// spreadLimit is how many ranges may move in total if hot keys of overloaded servers are spread.
-	spreadLimit int
-	// steady are the rates of the last seconds, by which shares are levelled, and targets the loads that the owners should have
-	// of these. There are none unless WithSteady was called.
-	steady  keyrates.Rates
-	targets []float64
-	// objective is the time within which requests should be answered, or 0, and slots gives how many requests each
-	// incarnation runs concurrently.
-	objective time.Duration
-	slots     map[string]int
-	cost      movecost.Cost
-	// cold has the incarnations that can run only a part of their slots' work, since they are cold.
-	cold map[string]bool
-}
-
-// WithCold sets which incarnations can run only a part of their slots' work, since they are cold.
-func (p Plan) WithCold(incarnations map[string]bool) Plan {
-	p.cold = incarnations
-	return p
-}
-
-// WithObjective sets the time within which requests should be answered, or 0 if that is not known, and how many requests each
-// incarnation runs concurrently.
-func (p Plan) WithObjective(objective time.Duration, slots map[string]int) Plan {
-	p.objective, p.slots = objective, slots
-	return p
-}
-
-// WithCost sets the cost of moves that serve waiting requests, spread hot keys or level shares. Those that don't pay are left out.
-func (p Plan) WithCost(cost movecost.Cost) Plan {
-	p.cost = cost
-	return p
-}
-
-// WithSteady sets the rates of the last seconds. The keys are then shared out so that most requests end within the objective.
-func (p Plan) WithSteady(rates keyrates.Rates) Plan {
-	p.steady = rates
-	counts, capacities := make([]int, len(p.owners)), make([]float64, len(p.owners))
-	p.owners = slices.Clone(p.owners)
-	for i, o := range p.owners {
-		counts[i], capacities[i] = p.slots[o.incarnation], o.capacity
-	}
-	total := 0.0
-	for _, h := range p.keys.Holdings() {
-		if i := p.indexOf(h.Owner); i >= 0 {
-			load := rates.Sum(h.Range) * p.meanServiceTime.Seconds()
-			p.owners[i].steadyLoad += load
-			total += load
-		}
-	}
-	p.targets = timelyload.New(p.meanServiceTime, p.objective).Loads(counts, capacities, total)
-	return p
-}
-
-// WithSpread sets how many ranges may move in total if hot keys of overloaded servers are spread.
-func (p Plan) WithSpread(limit int) Plan {
-	p.spreadLimit = limit
-	return p
 }
 
 // WithRecentlyMoved sets the ranges that should stay with their owners, since they moved a short time ago. They move
@@ -170,18 +102,12 @@
 	}
 	p.moves = nil
 	p.reassignOrphans()
-	p.spreadSurges(p.spreadLimit)
 	p.serveWaiting(limit)
 	if isBalancing {
-		p.moveHottestKey(hotKeyShare, limit)
+		p.moveHottestKey(limit)
 		p.seedEmptyServers(limit)
-		if p.targets != nil {
-			p.relieveCold(limit)
-			p.levelShares(max(limit, p.spreadLimit))
-		} else {
-			p.relieveOverloaded(limit)
-		}
-		p.joinSmallRanges(max(limit, p.spreadLimit/2))
+		p.relieveOverloaded(limit)
+		p.joinSmallRanges(limit)
 	}
 	return p.moves
 }
@@ -285,13 +211,10 @@
 }
 
 // busiest returns the index of the owner with the highest utilisation among those with keys that may move, or -1.
-func (p *Plan) busiest() int { return p.busiestOf(func(owner) bool { return true }) }
-
-// busiestOf returns the index of the owner as busiest does, among those that are included.
-func (p *Plan) busiestOf(isIncluded func(owner) bool) int {
+func (p *Plan) busiest() int {
 	best := -1
 	for i, o := range p.owners {
-		if isIncluded(o) && o.keyCount > 0 && !o.hasNoMovableRange && (best < 0 || o.utilisation() > p.owners[best].utilisation()) {
+		if o.keyCount > 0 && !o.hasNoMovableRange && (best < 0 || o.utilisation() > p.owners[best].utilisation()) {
 			best = i
 		}
 	}
--- a/core/reshard/waitingkeys.go
+++ b/core/reshard/waitingkeys.go
@@ -25,15 +25,15 @@
 	})
 	for _, incarnation := range byQueueLength {
 		load := p.ownerLoads[incarnation]
-		for n, key := range load.Waiting {
+		for _, key := range load.Waiting {
 			if len(p.moves) >= limit {
 				return
 			}
-			if slices.Contains(load.Running, key) || p.startsInTime(incarnation, n) {
+			if slices.Contains(load.Running, key) {
 				continue
 			}
 			r, ok := p.rangeAround(key, load.Running)
-			if !ok || !p.cost.Pays(1, p.rates.Sum(r), 0) {
+			if !ok {
 				continue
 			}
 			to := p.leastUsedWithFreeSlots(freeSlots)
@@ -46,18 +46,6 @@
 	}
 }
 
-// startsInTime reports whether the request that waits behind n others of an owner is expected to end within the objective, so
-// that a move of its key would not pay. While there are few ranges, a move that only shortens a wait pays too. Each slot of the owner is expected to free once in its mean work time.
-func (p *Plan) startsInTime(incarnation string, n int) bool {
-	i := p.indexOf(incarnation)
-	if i < 0 || p.objective <= 0 || len(p.keys.Holdings()) <= fewRanges {
-		return false
-	}
-	o := p.owners[i]
-	work := p.meanServiceTime.Seconds() * float64(max(1, p.slots[incarnation])) / o.capacity
-	return p.meanServiceTime.Seconds()*float64(n+1)/o.capacity+work <= p.objective.Seconds()
-}
-
 // leastUsedWithFreeSlots returns the index of the least used owner with free slots, or -1.
 func (p *Plan) leastUsedWithFreeSlots(freeSlots map[string]int) int {
 	best := -1
--- a/io/coordination/constants.go
+++ b/io/coordination/constants.go
@@ -47,4 +47,8 @@
 	// resultBuffer is the capacity of the channel for the results of completed calls, several of which may end at the
 	// same time.
 	resultBuffer = 64
+	// minSlowness and maxSlowness bound the slowness by which a server's slots are divided to get its capacity, so that a
+	// single outlier moves few keys. The slowness is the response time relative to the service's average.
+	minSlowness = 0.5
+	maxSlowness = 4
 )
--- a/io/coordination/services.go
+++ b/io/coordination/services.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"redwingsill/core/instance"
 )
 
 // loadNewServices loads the owners of sharded services that the coordinator does not manage yet.
@@ -39,15 +41,26 @@
 	}
 	if now.Sub(service.capacitiesAt) >= c.timing.WaitingInterval {
 		service.capacitiesAt = now
-		service.speeds = service.speeds.With(p.Slowness(), p.MeanServiceTime(), now)
-		configured := c.routing.Read()
-		all := service.speeds.Capacities(members)
-		withColdCapacities(all, members, configured.Services[name], service.speeds.ServiceTime(), now)
-		service.state = service.state.WithCapacities(all, service.speeds.ServiceTime()).
-			WithObjective(configured.Table.Objective(name)).WithKeyWarmUp(configured.Services[name].KeyWarmUpTime)
+		all := capacities(members, p.Slowness())
+		withColdCapacities(all, members, c.routing.Read().Services[name], p.MeanServiceTime(), now)
+		service.state = service.state.WithCapacities(all)
 	}
 	state, commands := service.state.WithTick(p, now)
 	service.state = state
 	c.reportEvents(name, service, now)
 	c.execute(name, service, commands, now)
 }
+
+// capacities returns, by incarnation, how many requests of average duration each backend server runs concurrently. The
+// slownesses are the servers' response times relative to the service's average, by incarnation.
+func capacities(members []instance.Instance, slownesses map[string]float64) map[string]float64 {
+	all := make(map[string]float64, len(members))
+	for _, m := range members {
+		slowness, ok := slownesses[m.Incarnation()]
+		if !ok {
+			slowness = 1
+		}
+		all[m.Incarnation()] = float64(m.Slots) / min(maxSlowness, max(minSlowness, slowness))
+	}
+	return all
+}
--- a/io/coordination/shardedservice.go
+++ b/io/coordination/shardedservice.go
@@ -7,7 +7,6 @@
 	"redwingsill/core/era"
 	"redwingsill/core/instance"
 	"redwingsill/core/ownership"
-	"redwingsill/core/serverspeed"
 )
 
 // shardedService is the coordinator's state of a service whose keys have owners.
@@ -28,8 +27,6 @@
 	members []instance.Instance
 	// completions has the results of the grants that have completed since the last step.
 	completions []command.Completion
-	// speeds are the servers' speeds of the last seconds.
-	speeds serverspeed.Speeds
 	// capacitiesAt is when the servers' capacities were last computed.
 	capacitiesAt time.Time
 }
