--- a/core/attemptresult/attemptresult.go
+++ b/core/attemptresult/attemptresult.go
@@ -20,9 +20,6 @@
 	// reported none.
 	Running int
 	Waiting int
-	// SlowdownPercent is how long work took on the server's machine when it answered, relative to the usual time, or 0 if the
-	// server didn't report it. It changes several times a second.
-	SlowdownPercent int
 	// Announcement is what the backend server said of itself in its answer, or, in a result with the status Unsent, what the
 	// host knew from earlier answers.
 	Announcement announcement.Announcement
--- a/core/keyload/keyload.go
+++ b/core/keyload/keyload.go
@@ -53,12 +53,6 @@
 	return keyrates.New(keys, rates)
 }
 
-// Rate returns the request rate of one key at now.
-func (l Load) Rate(key int, now time.Time) float64 {
-	c, _ := l.keys.Get(key)
-	return c.decayedAt(now) * math.Ln2 / halfLife.Seconds()
-}
-
 // Pruned returns the load without the keys whose count has decayed below minCount. It does nothing within pruneInterval of the
 // last time that it did something.
 func (l Load) Pruned(now time.Time) Load {
--- a/core/notification/notification.go
+++ b/core/notification/notification.go
@@ -3,8 +3,8 @@
 package notification
 
 // Notification is one message between entry hosts. The variants are [SlotRequested], [Queued], [Placed], [Refused],
-// [Declined], [Cancelled], [AttemptReported], [ServerAnnounced], [ServerCold], [ServerSlowed], [HeldSlots], [Ping], [Pong],
-// [ReachabilityRequested] and [ReachabilityReported].
+// [Declined], [Cancelled], [AttemptReported], [ServerAnnounced], [ServerCold], [HeldSlots], [Ping], [Pong], [ReachabilityRequested] and
+// [ReachabilityReported].
 //
 //sumtype:decl
 type Notification interface {
--- a/core/pool/constants.go
+++ b/core/pool/constants.go
@@ -29,7 +29,7 @@
 	// returnTime is how long after the end of a pause, at most, a host gets only one slot at a time at the server that asked
 	// for the pause. An answer ends it earlier.
 	returnTime = time.Second
-	// maxFailureRate is the rate of failed requests beyond the mean of all servers, from 0 to 1, above which requests that are not idempotent prefer
+	// maxFailureRate is the rate of failed requests, from 0 to 1, above which requests that are not idempotent prefer
 	// other servers, and [Pool.OwnerLoads] reports no free slots.
 	maxFailureRate = 0.25
 	// failureWeight is the weight of the newest request in a server's failure rate, a moving average.
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -38,9 +38,6 @@
 	if p.queues[n].Len() == 0 || n == p.commonQueue() && p.isSharded && p.queues[n].Keyless() == 0 {
 		return p, nil // thousands of requests may wait for an owner, and a free slot doesn't help them
 	}
-	if p.hasFreeSlot(n, now) { // the head may have become late since the last tick
-		p = p.withQueue(n, p.queues[n].WithLateHeadLast(now, p.timesInTime(n, now)))
-	}
 	var done []placement.Placement
 	p.queues[n].Each(func(r slotrequest.SlotRequest) bool {
 		if !now.Before(r.Deadline) {
@@ -91,18 +88,9 @@
 
 // withRun returns the pool after a request got a slot at a server.
 func (p Pool) withRun(r slotrequest.SlotRequest, n int, now time.Time) Pool {
-	p.servers = slices.Clone(p.servers)
-	return p.withRunInPlace(r, n, now)
-}
-
-// withRunInPlace is withRun for a pool whose slice of servers is not shared, so that it need not be copied once more.
-func (p Pool) withRunInPlace(r slotrequest.SlotRequest, n int, now time.Time) Pool {
 	s := *p.servers[n]
-	p.runs = p.runs.Set(r.Ticket, run{incarnation: s.incarnation, rank: r.Rank, startedAt: now, deadline: r.Deadline, host: hostOf(r.Ticket), key: r.Key,
-		slowdownAtStart: s.slowdown.Factor(now)})
-	s = s.withStart(now).withColdStart(p.share, now)
-	p.servers[n] = &s
-	return p
+	p.runs = p.runs.Set(r.Ticket, run{incarnation: s.incarnation, rank: r.Rank, startedAt: now, deadline: r.Deadline, host: hostOf(r.Ticket), key: r.Key})
+	return p.withServer(n, s.withStart(now).withColdStart(p.share, now))
 }
 
 // refusalOf returns the refusal of a request of queue n whose deadline has not passed, and true if the request must be
@@ -182,12 +170,12 @@
 		return 0, false
 	}
 	best, bestCost := -1, serverCost{}
-	serviceTime, meanFailureRate := p.serviceTimeOf(r.Rank), p.meanFailureRate()
+	serviceTime := p.serviceTimeOf(r.Rank)
 	for i, s := range p.servers {
 		if !p.isAvailable(s, now) || s.isBlockedFor(host, now) || !s.mayStart(host, p.share, now) || slices.Contains(r.Excluded, s.incarnation) || p.isHeldBack(s, host, now) {
 			continue
 		}
-		if c := s.cost(r, serviceTime, meanFailureRate, now); best < 0 || c.isLess(bestCost) {
+		if c := s.cost(r, serviceTime, now); best < 0 || c.isLess(bestCost) {
 			best, bestCost = i, c
 		}
 	}
@@ -203,15 +191,14 @@
 // cost returns the cost of running a request on the server. In falling weight it penalizes recent failures, an answer
 // that is likely to be late and, if the answer is not late, a server in another data centre; then the expected time
 // decides. Failures are ignored for idempotent requests, which can be retried elsewhere.
-func (s *server) cost(r slotrequest.SlotRequest, serviceTime time.Duration, meanFailureRate float64, now time.Time) serverCost {
-	failureRate := s.excessFailureRate(meanFailureRate)
-	expectedTime := s.expectedTime(serviceTime, failureRate, now)
+func (s *server) cost(r slotrequest.SlotRequest, serviceTime time.Duration, now time.Time) serverCost {
+	expectedTime := s.expectedTime(serviceTime, now)
 	isInTime := float64(expectedTime) <= objectiveFraction*float64(r.Objective.Sub(now))
 	c := serverCost{expectedTime: expectedTime, incarnation: s.incarnation}
 	if s.samples < minSamples && now.After(s.instance.WarmUpEnd) {
 		c.expectedTime = expectedTime * 8 / 10 // prefers a server with few samples, so that it is measured early
 	}
-	if (failureRate > maxFailureRate || s.backoffs > 0) && !r.IsIdempotent {
+	if (s.failureRate > maxFailureRate || s.backoffs > 0) && !r.IsIdempotent {
 		c.penalty += failurePenalty
 	}
 	if !isInTime {
--- a/core/pool/ownerloads.go
+++ b/core/pool/ownerloads.go
@@ -7,15 +7,14 @@
 	"redwingsill/core/slotrequest"
 )
 
-// OwnerLoads returns the keys of waiting and running requests and the free slots of each server, by incarnation. Requests that were
-// refused at their arrival a short time ago count as waiting. No free slots are reported for a server that is warming up or leaving, that
-// has not answered a request since it last backed off, or whose failure rate exceeds that of all servers by maxFailureRate.
+// OwnerLoads returns the keys of waiting and running requests and the free slots of each server, by incarnation. No
+// free slots are reported for a server that is warming up or leaving, that has not answered a request since it last
+// backed off, or whose failure rate exceeds maxFailureRate.
 func (p Pool) OwnerLoads(now time.Time) map[string]ownerload.OwnerLoad {
-	meanFailureRate := p.meanFailureRate()
 	loads := make(map[string]ownerload.OwnerLoad, len(p.servers))
 	for n, s := range p.servers {
 		load := ownerload.OwnerLoad{}
-		if !s.instance.IsLeaving && s.backoffs == 0 && s.excessFailureRate(meanFailureRate) <= maxFailureRate && !now.Before(s.instance.WarmUpEnd) {
+		if !s.instance.IsLeaving && s.backoffs == 0 && s.failureRate <= maxFailureRate && !now.Before(s.instance.WarmUpEnd) {
 			load.Free = max(0, s.freeSlots(p.share, now))
 		}
 		p.queues[n].Each(func(r slotrequest.SlotRequest) bool {
@@ -24,13 +23,6 @@
 		})
 		loads[s.incarnation] = load
 	}
-	for _, t := range p.withoutOldTurnedAway(now).turnedAway {
-		if n := p.queueOf(slotrequest.SlotRequest{Key: t.key}); n != p.commonQueue() {
-			load := loads[p.servers[n].incarnation]
-			load.Waiting = append(load.Waiting, t.key)
-			loads[p.servers[n].incarnation] = load
-		}
-	}
 	for itr := p.runs.Iterator(); !itr.Done(); {
 		_, r, _ := itr.Next()
 		if load, ok := loads[r.incarnation]; ok && r.key != slotrequest.NoKey {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -3,12 +3,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/benbjohnson/immutable"
 
-	"redwingsill/core/arrivalrate"
 	"redwingsill/core/instance"
 	"redwingsill/core/keyload"
 	"redwingsill/core/keymap"
@@ -39,10 +39,6 @@
 	// unservedRanges are the key ranges whose requests must wait, also if they have an owner.
 	unservedRanges []keyrange.Range
 	keyLoad        keyload.Load
-	// turnedAway has the keyed requests that were refused at their arrival, the oldest first.
-	turnedAway []turnedAway
-	// unkeyedArrivals is the rate of the requests that any server may run.
-	unkeyedArrivals arrivalrate.Rate
 	// serviceTimes gives the average service time by rank, on a server of average speed.
 	serviceTimes map[int]servicetime.Average
 }
@@ -105,7 +101,7 @@
 		queued, _ := p.waiting.Get(r.Ticket)
 		p = p.withQueue(queued.queue, p.queues[queued.queue].Without(r.Ticket))
 		n := p.queueOf(r)
-		p = p.withQueue(n, p.queues[n].With(r, p.willMissObjective(n, r, now)))
+		p = p.withQueue(n, p.queues[n].With(r, p.willMissObjective(r, now)))
 		p.waiting = p.waiting.Set(r.Ticket, queuedRequest{queue: n, queuedAt: queued.queuedAt})
 	}
 	return p
@@ -146,32 +142,30 @@
 	p.queues = slices.Repeat([]waitlist.Waitlist{waitlist.New()}, len(p.servers)+1)
 	for _, r := range requests {
 		n := p.queueOf(r)
-		p.queues[n] = p.queues[n].With(r, p.willMissObjective(n, r, now))
+		p.queues[n] = p.queues[n].With(r, p.willMissObjective(r, now))
 		queued, _ := p.waiting.Get(r.Ticket)
 		p.waiting = p.waiting.Set(r.Ticket, queuedRequest{queue: n, queuedAt: queued.queuedAt})
 	}
 	return p
 }
 
-// willMissObjective reports whether a request of queue n that started now would be answered after its objective.
-func (p Pool) willMissObjective(n int, r slotrequest.SlotRequest, now time.Time) bool {
-	return now.Add(p.timeInTime(n, r.Rank, now)).After(r.Objective)
+// willMissObjective reports whether a request that started now would be answered after its objective.
+func (p Pool) willMissObjective(r slotrequest.SlotRequest, now time.Time) bool {
+	return now.Add(p.serviceTimeOf(r.Rank)).After(r.Objective)
 }
 
 // KeyLoad returns the recent load by key.
 func (p Pool) KeyLoad() keyload.Load { return p.keyLoad }
 
-// Waiting returns the number of waiting requests, and of those for keys that were refused at their arrival a short time ago.
-func (p Pool) Waiting() int { return p.waiting.Len() + len(p.turnedAway) }
+// Waiting returns the number of waiting requests.
+func (p Pool) Waiting() int { return p.waiting.Len() }
 
 // Share returns the part of each server's slots that the pool may give out.
 func (p Pool) Share() float64 { return p.share }
 
 // IsIdle reports whether no request waits or runs and the key load has decayed, so that [Pool.WithTick] changes
 // nothing.
-func (p Pool) IsIdle() bool {
-	return p.waiting.Len() == 0 && p.runs.Len() == 0 && p.keyLoad.IsZero() && len(p.turnedAway) == 0
-}
+func (p Pool) IsIdle() bool { return p.waiting.Len() == 0 && p.runs.Len() == 0 && p.keyLoad.IsZero() }
 
 // Running returns the number of slots in use.
 func (p Pool) Running() int { return p.runs.Len() }
@@ -186,6 +180,25 @@
 	return slowness
 }
 
+// MeanServiceTime returns the mean service time over all ranks on a server of average speed.
+func (p Pool) MeanServiceTime() time.Duration {
+	total, count := 0.0, 0
+	for _, t := range p.serviceTimes {
+		n := min(t.Count(), maxRankWeight)
+		total += float64(t.Mean(0)) * float64(n)
+		count += n
+	}
+	if count == 0 {
+		return defaultServiceTime
+	}
+	return time.Duration(total / float64(count))
+}
+
+// serviceTimeOf returns the mean service time of a rank on a server of average speed.
+func (p Pool) serviceTimeOf(rank int) time.Duration {
+	return p.serviceTimes[rank].Mean(defaultServiceTime)
+}
+
 func (p Pool) serverIndex(incarnation string) (int, bool) {
 	n, ok := p.indexes[incarnation]
 	return n, ok
@@ -203,6 +216,14 @@
 	return p
 }
 
+func (p Pool) withServiceTime(rank int, duration time.Duration) Pool {
+	next := make(map[int]servicetime.Average, len(p.serviceTimes)+1)
+	maps.Copy(next, p.serviceTimes)
+	next[rank] = next[rank].With(duration)
+	p.serviceTimes = next
+	return p
+}
+
 func (p Pool) isUnserved(key int) bool {
 	return slices.ContainsFunc(p.unservedRanges, func(r keyrange.Range) bool { return r.Contains(key) })
 }
--- a/core/pool/run.go
+++ b/core/pool/run.go
@@ -11,10 +11,6 @@
 	host        uint32
 	// key is the request's key, or slotrequest.NoKey.
 	key int
-	// slowdownAtStart is the factor by which the server was slower than usual when it got the slot.
-	slowdownAtStart float64
-	// reportedSlowdown is the slowdown in percent that was reported for the run before its result, or 0.
-	reportedSlowdown int
 }
 
 // hostOf returns the number of the entry host that issued a ticket: the upper 32 bits of the ticket.
--- a/core/pool/server.go
+++ b/core/pool/server.go
@@ -5,9 +5,7 @@
 	"slices"
 	"time"
 
-	"redwingsill/core/arrivalrate"
 	"redwingsill/core/instance"
-	"redwingsill/core/slowdown"
 	"redwingsill/core/warmup"
 )
 
@@ -21,12 +19,8 @@
 	// number of these response times.
 	slowness float64
 	samples  int
-	// slowdown is how much slower than usual the server's machine is at the moment, as far as its answers report it.
-	slowdown slowdown.Slowdown
 	// failureRate is the moving average of failed requests, from 0 to 1.
 	failureRate float64
-	// refusalRate is the moving average of requests that the server refused without running them, from 0 to 1.
-	refusalRate float64
 	// backoffs counts the failures in a row that caused a backoff. The server gets no requests until backoffUntil.
 	backoffs     int
 	backoffUntil time.Time
@@ -41,8 +35,6 @@
 	slowSince   time.Time
 	lastSlowAt  time.Time
 	usualTime   time.Duration
-	// arrivals is the rate of requests for keys of the server, and hotArrivals that of those for hot keys.
-	arrivals, hotArrivals arrivalrate.Rate
 	// blockedUntil gives, by entry host, until when that host gets no slots here, since it could not connect. An answer
 	// to any host clears it.
 	blockedUntil map[uint32]time.Time
@@ -155,8 +147,8 @@
 }
 
 // expectedTime returns how long a request with the given average service time takes on the server, including retries
-// after failures, of which the server has the given rate beyond that of all servers.
-func (s server) expectedTime(serviceTime time.Duration, failureRate float64, now time.Time) time.Duration {
+// after failures.
+func (s server) expectedTime(serviceTime time.Duration, now time.Time) time.Duration {
 	factor := s.slownessFactor()
 	if now.Before(s.instance.WarmUpEnd) {
 		factor *= warmUpFactor
@@ -165,18 +157,7 @@
 		// An overdue request shows that the server is slow before its answer arrives.
 		factor = max(factor, overdueFactor*float64(now.Sub(s.oldestStart()))/float64(serviceTime))
 	}
-	usual := time.Duration(float64(serviceTime) * factor)
-	return time.Duration(float64(usual+s.slowdown.Extra(usual, now)) / (1 - min(failureRate, maxCountedFailureRate)))
-}
-
-// ownTime returns how long a request with the given average service time runs on the server. Unlike [server.expectedTime] it
-// doesn't follow single slow requests, since it orders the requests that wait.
-func (s *server) ownTime(serviceTime time.Duration, now time.Time) time.Duration {
-	factor := s.slownessFactor()
-	if now.Before(s.instance.WarmUpEnd) {
-		factor *= warmUpFactor
-	}
-	return time.Duration(float64(serviceTime) * factor)
+	return time.Duration(float64(serviceTime) * factor / (1 - min(s.failureRate, maxCountedFailureRate)))
 }
 
 // withResponseTime returns the server after an answer with the given response time, relative to the mean service time of
@@ -188,24 +169,16 @@
 	return s
 }
 
-// withAttempt returns the server with one more successful, failed or refused attempt in its rates. A refusal is a failure too.
-func (s server) withAttempt(failed, refused bool) server {
-	failure, refusal := 0.0, 0.0
-	if failed || refused {
-		failure = 1
+// withAttempt returns the server with one more successful or failed attempt in its failure rate.
+func (s server) withAttempt(failed bool) server {
+	value := 0.0
+	if failed {
+		value = 1
 	}
-	if refused {
-		refusal = 1
-	}
-	s.failureRate += failureWeight * (failure - s.failureRate)
-	s.refusalRate += failureWeight * (refusal - s.refusalRate)
+	s.failureRate += failureWeight * (value - s.failureRate)
 	return s
 }
 
-// excessFailureRate returns by how much the failure rate of the server exceeds the mean of all servers. Failures that all servers
-// have, such as random refusals under a common overload, are no reason to prefer or to avoid one of them.
-func (s server) excessFailureRate(mean float64) float64 { return max(0, s.failureRate-mean) }
-
 // withBackoff returns the server after one more failure in a row. It gets no requests for minBackoff after the first one,
 // and for twice as long after each further one, up to maxBackoff.
 func (s server) withBackoff(now time.Time) server {
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -1,14 +1,12 @@
 package pool
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/placement"
 	"redwingsill/core/slotrequest"
-	"redwingsill/core/slowdown"
 )
 
 // WithRequest returns the pool after a slot request, and the placements that follow; there are none if the request
@@ -27,22 +25,20 @@
 		return p, []placement.Placement{placement.Refuse{Ticket: request.Ticket, Reason: placement.NoServers, RetryAfter: noServerRetryAfter}}
 	}
 	n := p.queueOf(request)
-	p = p.withArrival(n, request, now)
 	if p.queues[n].Len() == 0 { // a request that can run at once is not queued
 		if s, ok := p.chooseServer(n, request, now); ok {
-			if n == p.commonQueue() {
-				p.servers = slices.Clone(p.servers)
-			} // else withArrival has copied the slice
-			return p.withRunInPlace(request, s, now), []placement.Placement{placement.Place{Ticket: request.Ticket, Incarnation: p.servers[s].incarnation}}
+			return p.withRun(request, s, now), []placement.Placement{placement.Place{Ticket: request.Ticket, Incarnation: p.servers[s].incarnation}}
 		}
 	}
 	if refusal, ok := p.refusalOf(n, request, now, now); ok {
 		return p, []placement.Placement{refusal}
 	}
-	if a := p.admissionOf(n, request, now); a.IsRefused() {
-		return p.withTurnedAway(request, now), []placement.Placement{placement.Refuse{Ticket: request.Ticket, Reason: placement.Overload, RetryAfter: a.RetryAfter(request.Ticket)}}
+	// A request is refused unless at least half its service time, as in minServiceTimeFraction, is left after the wait.
+	if wait, left := p.expectedWait(n, request, now), request.Deadline.Sub(now); wait > 0 && wait+p.serviceTimeOf(request.Rank)/2 > left {
+		return p, []placement.Placement{placement.Refuse{Ticket: request.Ticket, Reason: placement.Overload,
+			RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait+p.serviceTimeOf(request.Rank)-left))}}
 	}
-	p = p.withQueue(n, p.queues[n].With(request, p.willMissObjective(n, request, now)))
+	p = p.withQueue(n, p.queues[n].With(request, p.willMissObjective(request, now)))
 	p.waiting = p.waiting.Set(request.Ticket, queuedRequest{queue: n, queuedAt: now})
 	return p.withDispatched(n, now)
 }
@@ -85,25 +81,23 @@
 	switch r.Status {
 	case attemptresult.Answered:
 		s = s.withReturned(host, now)
-		s = s.withAttempt(false, false)
+		s = s.withAttempt(false)
 		s.backoffs, s.blockedUntil = 0, nil
 		if ok {
 			average := p.serviceTimeOf(ended.rank)
-			s.slowdown = slowdown.New(cmp.Or(r.SlowdownPercent, ended.reportedSlowdown), now)
-			usual := slowdown.Usual(r.Duration, ended.slowdownAtStart, s.slowdown.Factor(now))
-			p = p.withServiceTime(ended.rank, time.Duration(float64(usual)/max(minSlowness, s.slownessFactor())))
+			p = p.withServiceTime(ended.rank, time.Duration(float64(r.Duration)/max(minSlowness, s.slownessFactor())))
 			if now.After(s.instance.WarmUpEnd) {
-				s = s.withResponseTime(min(maxRelativeTime, float64(usual)/float64(max(average, minMeanServiceTime))))
+				s = s.withResponseTime(min(maxRelativeTime, float64(r.Duration)/float64(max(average, minMeanServiceTime))))
 			}
 		}
 	case attemptresult.Failed:
-		s = s.withAttempt(true, false)
+		s = s.withAttempt(true)
 	case attemptresult.Refused:
-		s = s.withAttempt(false, true)
+		s = s.withAttempt(true)
 	case attemptresult.Unreachable:
 		s = s.withUnreachable(host, now)
 	case attemptresult.Replaced, attemptresult.TimedOut:
-		s = s.withAttempt(true, false).withBackoff(now)
+		s = s.withAttempt(true).withBackoff(now)
 	case attemptresult.NotOwner, attemptresult.Left, attemptresult.Unsent:
 	}
 	return p.withServer(n, s).withDispatchedAfter(r.Incarnation, now)
@@ -119,24 +113,6 @@
 	return p.withServer(n, p.servers[n].withPause(host, pause, now)).withDispatchedAfter(incarnation, now)
 }
 
-// WithSlowdown returns the pool after a server reported how slow its machine is, in percent of the usual time, with the answer to
-// the request that holds the ticket's slot. The result of that request follows.
-func (p Pool) WithSlowdown(ticket uint64, percent int, now time.Time) Pool {
-	r, ok := p.runs.Get(ticket)
-	if !ok {
-		return p
-	}
-	r.reportedSlowdown = percent
-	p.runs = p.runs.Set(ticket, r)
-	n, ok := p.serverIndex(r.incarnation)
-	if !ok {
-		return p
-	}
-	s := *p.servers[n]
-	s.slowdown = slowdown.New(percent, now)
-	return p.withServer(n, s)
-}
-
 // WithHeldSlots returns the pool after the slots that a host no longer holds were freed, and the placements that follow.
 // These are the slots given out before the given time whose tickets are not in held. Their results were lost on the way.
 func (p Pool) WithHeldSlots(host uint32, held map[uint64]bool, before, now time.Time) (Pool, []placement.Placement) {
@@ -150,12 +126,11 @@
 func (p Pool) WithTick(now time.Time) (Pool, []placement.Placement) {
 	p = p.withoutRuns(func(_ uint64, r run) bool { return now.After(r.deadline.Add(resultGrace)) })
 	p.keyLoad = p.keyLoad.Pruned(now)
-	p = p.withoutOldTurnedAway(now)
 	p.queues = slices.Clone(p.queues)
 	var refused []placement.Placement
 	for n, q := range p.queues {
 		if q.Len() > 0 {
-			p.queues[n] = q.WithLateLast(now, p.timesInTime(n, now))
+			p.queues[n] = q.WithLateLast(now, p.serviceTimeOf)
 			p, refused = p.withoutUnservable(n, refused, now)
 		}
 	}
--- a/core/pool/wait.go
+++ b/core/pool/wait.go
@@ -8,7 +8,7 @@
 )
 
 // expectedWait estimates how long a new request would wait for a slot in queue n: the work ahead of it divided by the
-// capacity that more urgent ranks leave, after the rest of a pause of the queue's server. It is 0 if queueCapacity returns 0.
+// queue's capacity, after the rest of a pause of the queue's server. It is 0 if queueCapacity returns 0.
 func (p Pool) expectedWait(n int, r slotrequest.SlotRequest, now time.Time) time.Duration {
 	capacity, ahead := p.queueCapacity(n, now)
 	if capacity == 0 {
@@ -17,7 +17,7 @@
 	for rank, count := range p.queues[n].Ahead(r) {
 		ahead += float64(count) * float64(p.serviceTimeOf(rank))
 	}
-	return p.restOfPause(n, r, now) + time.Duration(ahead/(capacity*p.freeShare(n, r.Rank, capacity, now)))
+	return p.restOfPause(n, r, now) + time.Duration(ahead/capacity)
 }
 
 // restOfPause returns the rest of the pause that the server of queue n wants from the host of a request, or 0. It is 0 for the
@@ -64,7 +64,7 @@
 		return p, refused
 	}
 	p.queues[n].Each(func(r slotrequest.SlotRequest) bool {
-		serviceTime, _ := p.ownTimes(n, r.Rank, now)
+		serviceTime := p.serviceTimeOf(r.Rank)
 		wait := p.restOfPause(n, r, now) + time.Duration(ahead/capacity)
 		if left := r.Deadline.Sub(now); wait+time.Duration(minServiceTimeFraction*float64(serviceTime)) > left {
 			refused = append(refused, placement.Refuse{Ticket: r.Ticket, Reason: placement.Overload,
@@ -72,7 +72,7 @@
 			p = p.withoutWaiting(r.Ticket)
 			return true
 		}
-		ahead += float64(p.serviceTimeOf(r.Rank)) // of a server of average speed, as the capacity is
+		ahead += float64(serviceTime)
 		return true
 	})
 	return p, refused
--- a/core/servicetime/servicetime.go
+++ b/core/servicetime/servicetime.go
@@ -1,10 +1,7 @@
 // Package servicetime averages how long requests take.
 package servicetime
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // minWeight is the lowest weight of the newest duration in the average. With 0.1 it follows a change within about 20
 // requests.
@@ -12,20 +9,14 @@
 
 // Average is an exponential moving average of durations. The zero value has no durations. It is immutable.
 type Average struct {
-	mean float64 // in nanoseconds
-	// deviation is the moving average of the distances to the mean, in nanoseconds.
-	deviation float64
-	count     int
+	mean  float64 // in nanoseconds
+	count int
 }
 
 // With returns the average after one more duration. The first durations are weighted equally.
 func (a Average) With(d time.Duration) Average {
 	w := max(minWeight, 1/float64(a.count+1))
-	distance := math.Abs(float64(d) - a.mean)
-	if a.count == 0 {
-		distance = 0
-	}
-	return Average{mean: a.mean + w*(float64(d)-a.mean), deviation: a.deviation + w*(distance-a.deviation), count: a.count + 1}
+	return Average{mean: a.mean + w*(float64(d)-a.mean), count: a.count + 1}
 }
 
 // Mean returns the average, or fallback if there were no durations.
@@ -36,8 +27,5 @@
 	return time.Duration(a.mean)
 }
 
-// Deviation returns the mean deviation of the durations from their average.
-func (a Average) Deviation() time.Duration { return time.Duration(a.deviation) }
-
 // Count returns the number of durations.
 func (a Average) Count() int { return a.count }
--- a/core/slidingbudget/slidingbudget.go
+++ b/core/slidingbudget/slidingbudget.go
@@ -6,10 +6,6 @@
 // segments is the number of segments of the window. The counts of a segment expire together.
 const segments = 10
 
-// spareShare is the part of the retries up to which retries that are worth less are allowed, so that a burst of them leaves some for
-// others.
-const spareShare = 0.5
-
 // Budget counts the requests and retries of one entry host for one service. It is immutable.
 type Budget struct {
 	window time.Duration
@@ -37,20 +33,14 @@
 }
 
 // WithRetry returns the budget after one retry, and whether the retry is allowed. A denied retry is not counted.
-func (b Budget) WithRetry(now time.Time) (Budget, bool) { return b.withRetry(1, now) }
-
-// WithSpareRetry is WithRetry for a retry that is worth less than others. It is allowed only while half of the retries are left.
-func (b Budget) WithSpareRetry(now time.Time) (Budget, bool) { return b.withRetry(spareShare, now) }
-
-// withRetry returns the budget after one retry, and whether it is allowed within a share of all retries of the window.
-func (b Budget) withRetry(share float64, now time.Time) (Budget, bool) {
+func (b Budget) WithRetry(now time.Time) (Budget, bool) {
 	b = b.advancedTo(now)
 	requests, retries := 0, 0
 	for i := range b.requests {
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	if float64(retries+1) > share*(b.ratio*float64(requests)+b.extra) {
+	if float64(retries+1) > b.ratio*float64(requests)+b.extra {
 		return b, false
 	}
 	b.retries[segments]++
--- a/core/waitlist/waitlist.go
+++ b/core/waitlist/waitlist.go
@@ -98,22 +98,6 @@
 	}
 }
 
-// WithLateHeadLast returns the list after requests at its head that would miss their objective, even if they started now, were
-// moved behind the others of their rank. It does for the next request to run what WithLateLast does for all.
-func (w Waitlist) WithLateHeadLast(now time.Time, serviceTime func(rank int) time.Duration) Waitlist {
-	for {
-		itr := w.requests.Iterator()
-		if itr.Done() {
-			return w
-		}
-		key, r, _ := itr.Next()
-		if key.isLate || !now.Add(serviceTime(r.Rank)).After(r.Objective) {
-			return w
-		}
-		w = w.With(r, true)
-	}
-}
-
 // WithLateLast returns the list with the requests that would miss their objective, even if they started now, moved
 // behind the others of their rank. The function serviceTime returns how long a request of a rank takes.
 func (w Waitlist) WithLateLast(now time.Time, serviceTime func(rank int) time.Duration) Waitlist {
--- a/io/datagram/codec.go
+++ b/io/datagram/codec.go
@@ -29,7 +29,6 @@
 	codeReachabilityReported
 	codeServerAnnounced
 	codeServerCold
-	codeServerSlowed
 )
 
 // flagLeaving is the flag of an announcement that says that the server leaves.
@@ -83,11 +82,6 @@
 		w.putString(n.Service)
 		w.putString(n.Incarnation)
 		w.putVarint(int64(n.ColdFor))
-	case notification.ServerSlowed:
-		w.putByte(codeServerSlowed)
-		w.putString(n.Service)
-		w.putUvarint(n.Ticket)
-		w.putVarint(int64(n.Percent))
 	case notification.HeldSlots:
 		w.putByte(codeHeldSlots)
 		w.putString(n.Service)
@@ -160,8 +154,6 @@
 		return r.nextServerAnnounced()
 	case codeServerCold:
 		return notification.ServerCold{Service: r.nextString(), Incarnation: r.nextString(), ColdFor: time.Duration(r.nextVarint())}
-	case codeServerSlowed:
-		return notification.ServerSlowed{Service: r.nextString(), Ticket: r.nextUvarint(), Percent: int(r.nextVarint())}
 	case codeHeldSlots:
 		held := notification.HeldSlots{Service: r.nextString(), Host: uint32(r.nextUvarint())}
 		for range min(r.nextUvarint(), maxListLength) {
@@ -234,9 +226,8 @@
 		Announcement: announcement.Announcement{IsLeaving: r.nextByte()&flagLeaving != 0, Pause: time.Duration(r.nextVarint())}}
 }
 
-// putAttemptResult appends an attempt result without its announcement and its slowdown, which [notification.ServerAnnounced]
-// and [notification.ServerSlowed] carry: hosts of an earlier version reject a longer result, but only ignore a notification that
-// they don't know.
+// putAttemptResult appends an attempt result without its announcement, which [notification.ServerAnnounced] carries: hosts of
+// an earlier version reject a longer result, but only ignore a notification that they don't know.
 func (w *writer) putAttemptResult(result attemptresult.AttemptResult) {
 	w.putUvarint(result.Ticket)
 	w.putString(result.Incarnation)
--- a/io/forward/constants.go
+++ b/io/forward/constants.go
@@ -6,11 +6,6 @@
 	// minRetryTime is the time that must be left to the deadline for a retry. With less, the retry would take a slot but
 	// hardly end in time.
 	minRetryTime = 30 * time.Millisecond
-	// minObjectiveLeft is the part of the objective that must be left for a retry to count as in time. Objectives are mostly three
-	// times the service time.
-	minObjectiveLeft = 1.0 / 3
-	// maxImmediate is the time up to which a refusal counts as given at once: two passes through a busy network.
-	maxImmediate = 20 * time.Millisecond
 	// maxRounds bounds how often one request asks for a slot. It allows for a few moves of the request's key.
 	maxRounds = 8
 	// baseBackOff is the base of the exponential back-off before a request asks again for a slot because the chosen
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -126,7 +127,7 @@
 		}
 		remaining := s.request.Deadline.Sub(f.now())
 		if ctx.Err() == nil && s.rounds < maxRounds &&
-			s.history.MayRetry(s.route, remaining, minRetryTime, func() bool { return f.takeRetry(s) }) {
+			s.history.MayRetry(s.route, remaining, minRetryTime, func() bool { return f.takeRetry(s.service) }) {
 			if result.Status != attemptresult.NotOwner || f.backOff(ctx, s) {
 				response.Release()
 				continue
@@ -228,3 +229,21 @@
 	})
 	return picked
 }
+
+// record updates the metrics, and logs the request if it has no response or needed more than one round.
+func (f *Forwarder) record(ctx context.Context, s *requestState, response *origin.Response, failure outcome.Outcome, took time.Duration) {
+	name := "Answered"
+	if failure != nil {
+		name = outcome.Name(failure)
+	}
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		name = "Left" // the caller has disconnected, or this host is shutting down
+	}
+	f.metrics.ObserveRequest(s.service, s.route.Rank, name, took)
+	if response != nil && s.rounds == 1 {
+		return
+	}
+	f.log.Info("request", "ID", s.request.AttemptID, "Outcome", name, "Route", s.route.Name, "Service", s.service, "Key", s.key,
+		"Rank", s.route.Rank, "Server", s.incarnation, "Result", s.result.String(), "Refused", string(s.refusalReason), "Rounds", s.rounds,
+		"Sent", s.history.Sent, "Configuration", f.routing.Read().Version, "Took", took, "Error", s.err)
+}
--- a/io/forward/metrics.go
+++ b/io/forward/metrics.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"redwingsill/core/attemptresult"
-	"redwingsill/core/placement"
 )
 
 // Metrics records the outcomes of requests and attempts.
@@ -12,9 +11,6 @@
 	// ObserveRequest counts a finished request by service, rank and outcome, and records its duration. The outcome is
 	// Answered, NotRun, Unknown, or Left if the request was cancelled.
 	ObserveRequest(service string, rank int, outcome string, took time.Duration)
-	// CountRefusal counts a request of a service that got no slot, by the reason, and by whether it was refused at once or after it
-	// had waited.
-	CountRefusal(service string, rank int, reason placement.Reason, hasWaited bool)
 	// CountAttempt counts an attempt to send a request to a backend server of a service, by its result.
 	CountAttempt(service string, result attemptresult.Status)
 	// CountInvalidResponse counts what a backend server of a service sent that is no response.
--- a/io/forward/retrybudget.go
+++ b/io/forward/retrybudget.go
@@ -42,17 +42,12 @@
 	f.updateBudget(service, func(b slidingbudget.Budget) slidingbudget.Budget { return b.WithRequest(now) })
 }
 
-// takeRetry takes one retry for a request from the budget of its service, and reports whether the budget allows it. A request that
-// has not run and will hardly be answered within its objective gets one only while many are left: its caller may return by itself.
-func (f *Forwarder) takeRetry(s *requestState) bool {
+// takeRetry takes one retry from the budget of a service, and reports whether the budget allows it.
+func (f *Forwarder) takeRetry(service string) bool {
 	ok := false
 	now := f.now()
-	take := slidingbudget.Budget.WithRetry
-	if s.route.Objective > 0 && !s.history.MayHaveRun && float64(s.objective.Sub(now)) < minObjectiveLeft*float64(s.route.Objective) {
-		take = slidingbudget.Budget.WithSpareRetry
-	}
-	f.updateBudget(s.service, func(b slidingbudget.Budget) slidingbudget.Budget {
-		b, ok = take(b, now)
+	f.updateBudget(service, func(b slidingbudget.Budget) slidingbudget.Budget {
+		b, ok = b.WithRetry(now)
 		return b
 	})
 	return ok
--- a/io/forward/slots.go
+++ b/io/forward/slots.go
@@ -41,9 +41,6 @@
 	key := f.keyOf(s)
 	r := slotrequest.SlotRequest{DataCentre: f.dataCentre, Service: s.service, Key: key, Rank: s.route.Rank, Objective: s.objective,
 		Deadline: s.request.Deadline, IsRetry: s.rounds > 1, IsIdempotent: s.route.IsIdempotent}
-	if s.route.Objective <= 0 { // any answer before the deadline is in time
-		r.Objective = r.Deadline
-	}
 	if key == slotrequest.NoKey {
 		r.Excluded = s.history.Excluded
 	}
--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -103,7 +103,7 @@
 		connection.close()
 	}
 	result := newResult(status)
-	result.Running, result.Waiting, result.SlowdownPercent = parseLoad(response.Header.Get(c.headers.Load))
+	result.Running, result.Waiting = parseLoad(response.Header.Get(c.headers.Load))
 	return response, result, nil
 }
 
--- a/io/origin/readresponse.go
+++ b/io/origin/readresponse.go
@@ -109,26 +109,20 @@
 	return defaultKeepAlive
 }
 
-// parseLoad returns the numbers of running and waiting requests from a load header, or -1 for each if it is missing or malformed,
-// and its fourth figure, the slowdown of the machine in percent, or 0 if there is none. The third figure, the number of slots, is
-// known from discovery.
-func parseLoad(value string) (running, waiting, slowdownPercent int) {
+// parseLoad returns the numbers of running and waiting requests from a load header, or -1 for each if it is missing or
+// malformed.
+func parseLoad(value string) (int, int) {
 	parts := strings.Split(value, ",")
 	if len(parts) < 2 {
-		return -1, -1, 0
+		return -1, -1
 	}
 	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
 	if err != nil {
-		return -1, -1, 0
+		return -1, -1
 	}
-	waiting, err = strconv.Atoi(strings.TrimSpace(parts[1]))
+	waiting, err := strconv.Atoi(strings.TrimSpace(parts[1]))
 	if err != nil {
-		return -1, -1, 0
+		return -1, -1
 	}
-	if len(parts) >= 4 {
-		if slowdownPercent, err = strconv.Atoi(strings.TrimSpace(parts[3])); err != nil {
-			slowdownPercent = 0
-		}
-	}
-	return running, waiting, slowdownPercent
+	return running, waiting
 }
--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -12,7 +12,6 @@
 
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/ownershipevent"
-	"redwingsill/core/placement"
 )
 
 // Metrics holds the Prometheus collectors of one host, and implements forward.Metrics and
@@ -22,7 +21,6 @@
 	registry        *prometheus.Registry
 	requestDuration *prometheus.HistogramVec
 	attempts        *prometheus.CounterVec
-	refusals        *prometheus.CounterVec
 	storeCalls      *prometheus.CounterVec
 	rangesFreed     *prometheus.CounterVec
 	rangesFenced    *prometheus.CounterVec
@@ -41,8 +39,6 @@
 			Buckets: []float64{.005, .013, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4}}, []string{"service", "rank", "outcome"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_attempts_total",
 			Help: "Requests sent to backend servers, by service and result."}, []string{"service", "result"}),
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_refusals_total",
-			Help: "Requests that got no slot, by service, rank, reason, and whether they were refused at once or had waited."}, []string{"service", "rank", "reason", "when"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_store_calls_total",
 			Help: "Calls to the store, by call and result."}, []string{"call", "result"}),
 		rangesFreed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_ranges_freed_total",
@@ -58,8 +54,8 @@
 		coldChecks: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_cold_checks_total",
 			Help: "Health requests to backend servers that may have turned cold, by service and whether they had."}, []string{"service", "is_cold"}),
 	}
-	m.registry.MustRegister(m.requestDuration, m.attempts, m.refusals, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses,
-		m.invalid, m.coldChecks)
+	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses, m.invalid,
+		m.coldChecks)
 	return m
 }
 
@@ -81,15 +77,6 @@
 // CountInvalidResponse counts what a backend server of a service sent that is no response.
 func (m *Metrics) CountInvalidResponse(service string) { m.invalid.WithLabelValues(service).Inc() }
 
-// CountRefusal counts a request of a service that got no slot, by the reason, and by whether it had waited.
-func (m *Metrics) CountRefusal(service string, rank int, reason placement.Reason, hasWaited bool) {
-	when := "AtOnce"
-	if hasWaited {
-		when = "AfterWait"
-	}
-	m.refusals.WithLabelValues(service, strconv.Itoa(rank), string(reason), when).Inc()
-}
-
 // CountLeavingServer counts a backend server of a service whose answer said for the first time that it leaves.
 func (m *Metrics) CountLeavingServer(service string) { m.leavingServers.WithLabelValues(service).Inc() }
 
--- a/io/slotclient/slotclient.go
+++ b/io/slotclient/slotclient.go
@@ -16,7 +16,6 @@
 	"redwingsill/core/rcu"
 	"redwingsill/core/reachability"
 	"redwingsill/core/slotrequest"
-	"redwingsill/core/slowdown"
 	"redwingsill/io/datagram"
 	"redwingsill/io/slotserver"
 )
@@ -100,9 +99,6 @@
 	if r.Announcement.ColdFor > 0 {
 		c.send(s.host, notification.ServerCold{Service: s.service, Incarnation: s.Incarnation, ColdFor: r.Announcement.ColdFor})
 	}
-	if slowdown.IsNotable(r.SlowdownPercent) {
-		c.send(s.host, notification.ServerSlowed{Service: s.service, Ticket: s.ticket, Percent: r.SlowdownPercent})
-	}
 	c.send(s.host, notification.AttemptReported{Service: s.service, Result: r})
 }
 
@@ -148,8 +144,6 @@
 		c.onAnnouncement(from, n)
 	case notification.ServerCold:
 		c.onAnnouncement(from, notification.ServerAnnounced{Service: n.Service, Incarnation: n.Incarnation, Announcement: announcement.Announcement{ColdFor: n.ColdFor}})
-	case notification.ServerSlowed:
-		c.slotServer.Slow(n.Service, n.Ticket, n.Percent)
 	case notification.HeldSlots:
 		c.slotServer.ReclaimUnlisted(n.Service, n.Host, n.Tickets, c.now().Add(-minReclaimAge))
 	case notification.Ping:
--- a/io/slotserver/slotserver.go
+++ b/io/slotserver/slotserver.go
@@ -61,13 +61,6 @@
 	})
 }
 
-// Slow records how slow the machine of the server of a slot is at the moment, in percent of the usual time.
-func (s *SlotServer) Slow(service string, ticket uint64, percent int) {
-	s.update(s.pool(service), func(p pool.Pool) (pool.Pool, []placement.Placement) {
-		return p.WithSlowdown(ticket, percent, s.now()), nil
-	})
-}
-
 // ReclaimUnlisted frees the slots of a service that a host got before the given time and whose tickets are not among
 // those given. The host is given by its ID, the upper half of its tickets.
 func (s *SlotServer) ReclaimUnlisted(service string, host uint32, tickets []uint64, before time.Time) {
@@ -115,15 +108,6 @@
 	}
 }
 
-// Overloaded returns the number of servers, or services without keys, that are asked for much more than they can run.
-func (s *SlotServer) Overloaded() int {
-	overloaded := 0
-	for _, p := range *s.pools.Read() {
-		overloaded += p.Read().Overloaded(s.now())
-	}
-	return overloaded
-}
-
 // Pool returns the current pool of a service.
 func (s *SlotServer) Pool(service string) pool.Pool { return s.pool(service).Load() }
 
