Decide on long bodies by the host's link before they are read

A burst of uploads saturates the links of small hosts (10 Mbit/s): all bodies were read whole before a slot was asked for, so for 6 s short requests through these hosts had a p50 of 1 s at the caller. With self.limits.link_mbps in the settings, a host now keeps what is under way on its link, and refuses a long body at its head if there is no room, if it could not meet its objective, or if the service has just refused such requests. Without the setting nothing changes.

--- /dev/null
+++ b/core/admission/admitted.go
@@ -0,0 +1,6 @@
+package admission
+
+// Admitted lets the body be read.
+type Admitted struct{}
+
+func (Admitted) admission() {}
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -6,8 +6,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -75,12 +73,18 @@
 // it is no longer needed, and no outcome, or, without a response, the outcome [outcome.NotRun] or [outcome.Unknown]. The context
 // must be cancelled when the caller disconnects.
 func (f *Forwarder) Serve(ctx context.Context, route *rule.Rule, r origin.Request, key int) (*origin.Response, outcome.Outcome) {
+	return f.ServeBy(ctx, route, f.PickService(route), r, key, func() {})
+}
+
+// ServeBy is like [Forwarder.Serve] for a service that [Forwarder.PickService] has returned. It calls onSend before each attempt to
+// send the request.
+func (f *Forwarder) ServeBy(ctx context.Context, route *rule.Rule, service string, r origin.Request, key int,
+	onSend func()) (*origin.Response, outcome.Outcome) {
 	began := f.now()
 	arrived := r.Arrived
 	if arrived.IsZero() {
 		arrived = began
 	}
-	service := f.pickService(route)
 	f.countRequest(service, began)
 	deadline := arrived.Add(route.Timeout)
 	if route.Timeout <= 0 || r.Deadline.Before(deadline) {
@@ -89,7 +93,7 @@
 	r.Deadline = deadline
 	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(began))
 	defer cancel()
-	s := &requestState{route: route, request: r, service: service, key: key, objective: arrived.Add(route.Objective)}
+	s := &requestState{route: route, request: r, service: service, key: key, objective: arrived.Add(route.Objective), onSend: onSend}
 	response, failure := f.serve(ctx, s)
 	f.record(ctx, s, response, failure, f.now().Sub(began))
 	return response, failure
@@ -114,6 +118,7 @@
 			}
 			continue
 		}
+		s.onSend()
 		response, result, err := f.origin.Send(ctx, to, s.request, f.connectionLimit(s.service))
 		if !result.Announcement.IsZero() {
 			f.onAnnouncement(s.request.AttemptID, to, result.Announcement)
@@ -212,24 +217,6 @@
 	return max(minConnections, limit/max(1, f.directory.Read().Len()))
 }
 
-// pickService returns the service for one request of a route, by weighted round-robin over its destinations.
-func (f *Forwarder) pickService(route *rule.Rule) string {
-	if len(route.Destinations) == 1 {
-		return route.Destinations[0].Service
-	}
-	picked := ""
-	f.selectors.Update(func(old map[string]weighted.RoundRobin) map[string]weighted.RoundRobin {
-		next := maps.Clone(old)
-		selector, ok := next[route.Name]
-		if !ok || !selector.Matches(route.Destinations) {
-			selector = weighted.New(route.Destinations, rand.Float64())
-		}
-		picked, next[route.Name] = selector.Next()
-		return next
-	})
-	return picked
-}
-
 // record updates the metrics, and logs the request if it has no response or needed more than one round.
 func (f *Forwarder) record(ctx context.Context, s *requestState, response *origin.Response, failure outcome.Outcome, took time.Duration) {
 	name := "Answered"
--- a/io/forward/requeststate.go
+++ b/io/forward/requeststate.go
@@ -19,7 +19,9 @@
 	key int
 	// objective is the target time for the response: the start of Serve plus the route's objective.
 	objective time.Time
-	history   attempt.History
+	// onSend is called before each attempt to send the request.
+	onSend  func()
+	history attempt.History
 	// rounds counts the rounds. In each one this host asks for a slot, the right to run one request on a backend server,
 	// and, once it is granted, tries to send the request.
 	rounds int
--- a/io/ingress/constants.go
+++ b/io/ingress/constants.go
@@ -21,4 +21,9 @@
 	// maxUncountedBody is the size in bytes up to which a request body does not count towards the memory of bodies. It is
 	// small, since each of thousands of connections may have such a body.
 	maxUncountedBody = 4 << 10
+	// maxShortBody is the size in bytes up to which a body is read without a decision on the host's link. It has mostly
+	// arrived with the head, as it fits into a new connection's first window of 10 packets.
+	maxShortBody = 14 << 10
+	// assumedHead is the assumed size in bytes of the head of a request or response, with the headers of its packets.
+	assumedHead = 600
 )
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"redwingsill/core/routing"
 	"redwingsill/core/rule"
 	"redwingsill/core/slotrequest"
+	"redwingsill/core/uploads"
 	"redwingsill/io/bodybudget"
 	"redwingsill/io/forward"
 	"redwingsill/io/headers"
@@ -40,16 +41,20 @@
 	baseContext context.Context
 	cancelBase  context.CancelFunc
 	// bodies bounds the memory of the bodies of requests in progress.
-	bodies         *bodybudget.BodyBudget
+	bodies *bodybudget.BodyBudget
+	// longBodies decides which long bodies are read.
+	longBodies     *longBodies
+	metrics        Metrics
 	activeRequests atomic.Int64
 	server         *http1.Server
 }
 
 // New returns a front end that forwards requests with f. The bodies of requests in progress use at most bodyMemory bytes,
-// without the short ones.
-func New(names headers.Names, bodyMemory int64, routes *rcu.Value[routing.Routing], f *forward.Forwarder, now func() time.Time,
-	log *slog.Logger) *Ingress {
-	i := &Ingress{headers: names, now: now, log: log, routing: routes, forwarder: f, bodies: bodybudget.New(bodyMemory, maxUncountedBody)}
+// without the short ones, and what the host's link carries of them is bounded by initial.
+func New(names headers.Names, bodyMemory int64, initial uploads.Uploads, metrics Metrics, routes *rcu.Value[routing.Routing],
+	f *forward.Forwarder, now func() time.Time, log *slog.Logger) *Ingress {
+	i := &Ingress{headers: names, now: now, log: log, routing: routes, forwarder: f, bodies: bodybudget.New(bodyMemory, maxUncountedBody),
+		longBodies: newLongBodies(initial, now), metrics: metrics}
 	i.baseContext, i.cancelBase = context.WithCancel(context.Background())
 	i.server = http1.New(i, func() limits.Limits { return i.routing.Read().Limits }, log)
 	return i
@@ -78,6 +83,9 @@
 // BodyBytes returns the memory in bytes of the bodies of requests in progress, without the short ones.
 func (i *Ingress) BodyBytes() int64 { return i.bodies.Reserved() }
 
+// LinkBytes returns the bytes of long bodies that were admitted and are still to cross the host's link, to or from the host.
+func (i *Ingress) LinkBytes() float64 { return i.longBodies.state.Read().LinkBytes(i.now()) }
+
 // ReadAhead returns the number of requests that were read before earlier ones of their connection were answered.
 func (i *Ingress) ReadAhead() int64 { return i.server.ReadAhead() }
 
@@ -100,6 +108,12 @@
 		i.reject(w, r, *refused)
 		return
 	}
+	service, long, refused := i.admitBody(r, routes, route, request)
+	if refused != nil {
+		i.reject(w, r, *refused)
+		return
+	}
+	defer long.end()
 	body, release, refused := i.readBody(w, r, request.Deadline, routes.Limits.BodyBytes, arrived)
 	defer release()
 	if refused == nil && !route.IsIdempotent && http1.IsAhead(r.Context()) {
@@ -122,7 +136,7 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(i.baseContext, cancel)()
-	response, failure := i.forwarder.Serve(ctx, route, request, parseKey(r.Header.Get(i.headers.Key)))
+	response, failure := i.serve(ctx, route, service, request, parseKey(r.Header.Get(i.headers.Key)), long)
 	if response != nil {
 		defer response.Release()
 		i.writeResponse(w, r.Method, response)
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -29,6 +29,7 @@
 	"redwingsill/core/routetable"
 	"redwingsill/core/routing"
 	"redwingsill/core/rule"
+	"redwingsill/core/uploads"
 	"redwingsill/io/datagram"
 	"redwingsill/io/forward"
 	"redwingsill/io/headers"
@@ -45,6 +46,7 @@
 
 func (noMetrics) ObserveRequest(string, int, string, time.Duration) {}
 func (noMetrics) CountAttempt(string, attemptresult.Status)         {}
+func (noMetrics) CountRefusedBody(string, string)                   {}
 
 // entryHost is the front end of a host with one backend server. The routes of a.example are /get/, whose requests may run more than
 // once, and /post/, whose requests may not.
@@ -83,7 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &entryHost{Ingress: ingress.New(names, bodyMemory, routes, f, time.Now, log), forwarder: f, address: listener.Addr().String(), backend: backend}
+	h := &entryHost{Ingress: ingress.New(names, bodyMemory, uploads.Uploads{}, noMetrics{}, routes, f, time.Now, log), forwarder: f, address: listener.Addr().String(), backend: backend}
 	_, stop := h.Serve(context.Background(), listener)
 	t.Cleanup(stop)
 	return h
--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -26,6 +26,7 @@
 	rangesFenced    *prometheus.CounterVec
 	leavingServers  *prometheus.CounterVec
 	pauses          *prometheus.CounterVec
+	refusedBodies   *prometheus.CounterVec
 }
 
 // New returns metrics with their collectors registered.
@@ -47,8 +48,10 @@
 			Help: "Backend servers that this host heard leave from their answers, by service."}, []string{"service"}),
 		pauses: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_pauses_total",
 			Help: "Answers in which a backend server asked this host for a pause, by service."}, []string{"service"}),
+		refusedBodies: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_refused_bodies_total",
+			Help: "Requests that were refused before their long body was read, by service and reason."}, []string{"service", "reason"}),
 	}
-	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses)
+	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses, m.refusedBodies)
 	return m
 }
 
@@ -73,6 +76,11 @@
 // CountPause counts an answer in which a backend server of a service asked for a pause.
 func (m *Metrics) CountPause(service string) { m.pauses.WithLabelValues(service).Inc() }
 
+// CountRefusedBody counts a request for a service that was refused before its long body was read, by the reason.
+func (m *Metrics) CountRefusedBody(service, reason string) {
+	m.refusedBodies.WithLabelValues(service, reason).Inc()
+}
+
 // CountStoreCall counts a call to the platform's key-value store. The parameter call is the operation, and result is
 // "Done" or an error kind, or "UnreadableItem" for an item that was left out of a response.
 func (m *Metrics) CountStoreCall(call, result string) {
