--- a/io/forward/forwarder_test.go
+++ b/io/forward/forwarder_test.go
@@ -30,6 +30,7 @@
 	"redwingsill/core/routetable"
 	"redwingsill/core/routing"
 	"redwingsill/core/rule"
+	"redwingsill/core/uploads"
 	"redwingsill/io/datagram"
 	"redwingsill/io/forward"
 	"redwingsill/io/headers"
@@ -46,6 +47,7 @@
 
 func (noMetrics) ObserveRequest(string, int, string, time.Duration) {}
 func (noMetrics) CountAttempt(string, attemptresult.Status)         {}
+func (noMetrics) CountRefusedBody(string, string)                   {}
 
 // repeatingServer is a faulty backend server: it answers the first request without running it, and writes a copy of that answer before
 // its response to the next request on the same connection.
@@ -142,7 +144,7 @@
 	t.Cleanup(closeClient)
 	f := forward.New("ilo", forward.RetryBudget{Window: 10 * time.Second, Extra: retries}, routes, rcu.New(roster.New(server)), hosts,
 		rcu.New(announcements.Announcements{}), func(string, instance.Instance, announcement.Announcement) {}, slotClient, client, noMetrics{}, time.Now, log)
-	frontEnd := httptest.NewServer(ingress.New(names, 1<<20, routes, f, time.Now, log))
+	frontEnd := httptest.NewServer(ingress.New(names, 1<<20, uploads.Uploads{}, noMetrics{}, routes, f, time.Now, log))
 	t.Cleanup(frontEnd.Close)
 	return frontEnd.URL
 }
