io/http1: the rest of a refused body is not read

Now the host half-closes after the response, waits for the caller to close without reading, at most 0.5 s and for at most 64 connections, and closes.

--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -16,6 +16,7 @@
 	mu          sync.Mutex
 	isOver      bool
 	isAtEOF     bool
+	isBegun     bool
 	setDeadline func(time.Time) error
 	ended       chan struct{}
 }
@@ -28,6 +29,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	isOver, isAtEOF := b.isOver, b.isAtEOF
+	b.isBegun = b.isBegun || !isOver
 	b.mu.Unlock()
 	switch {
 	case isAtEOF:
@@ -87,6 +89,16 @@
 	}
 }
 
+// isUntouched reports whether no byte of the body was asked for.
+func (b *body) isUntouched() bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.isBegun
+}
+
 // isRead reports whether the body was read to EOF.
 func (b *body) isRead() bool {
 	if b == nil {
--- a/io/http1/close.go
+++ b/io/http1/close.go
@@ -16,12 +16,17 @@
 }
 
 // linger reads on until the last response is sent and the caller has closed the connection or lingerTimeout has passed,
-// and closes it. A caller that disconnects before has its requests cancelled.
+// and closes it. A caller that disconnects before has its requests cancelled. The rest of a refused body is not read.
 func (c *connection) linger() {
 	defer c.abort()
 	c.mu.Lock()
 	c.isClosing = true
+	leavesBody := c.isFinished && c.last.leavesBody
 	c.mu.Unlock()
+	if leavesBody {
+		c.awaitClose()
+		return
+	}
 	for c.ctx.Err() == nil {
 		c.mu.Lock()
 		isOver := c.pending == 0 && !c.isFinished
--- a/io/http1/constants.go
+++ b/io/http1/constants.go
@@ -28,4 +28,13 @@
 	shutdownPollInterval = 20 * time.Millisecond
 	// maxSingleWrite is the size in bytes of a response up to which its head and body are written together.
 	maxSingleWrite = 64 << 10
+	// maxDiscardedBody is the length in bytes up to which the rest of a body is read after a response that refuses it. It comes
+	// with the head, and the connection then ends without a reset.
+	maxDiscardedBody = readBufferSize
+	// maxRefusalBody is the length in bytes of the longest response after which a refused body is left unread. It fits into the
+	// socket's buffer, so that sending it does not wait for the caller.
+	maxRefusalBody = 2 << 10
+	// maxAwaitedCloses bounds the connections with unread bodies that wait for their callers. Each holds some 64 KB in the
+	// socket's buffer for up to lingerTimeout. Beyond it they are closed at once, and their callers may lose the response.
+	maxAwaitedCloses = 64
 )
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -27,6 +27,8 @@
 	// unsent holds what was written before the response is complete.
 	unsent []byte
 	isSent bool
+	// leavesBody is set before the response is sent if the rest of the body is not to be read. The connection's mutex guards it.
+	leavesBody bool
 }
 
 // newExchange returns the exchange after previous, which is nil for the first one of a connection.
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -69,12 +69,18 @@
 	}
 	wantsClose := !e.body.isRead() || httpguts.HeaderValuesContainsToken(e.header["Connection"], "close")
 	closes := e.connection.beginResponse(e, wantsClose)
-	e.body.end(false)
+	leavesBody := closes && e.refusesBody(len(body))
+	if leavesBody {
+		e.connection.leaveBody(e)
+	} else {
+		e.body.end(false)
+	}
 	if err := e.write(body, closes); err != nil {
 		e.connection.abort()
 		return err
 	}
 	e.connection.endResponse(e)
+	e.body.end(false) // only now if the rest of the body is not read
 	return nil
 }
 
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -26,6 +26,8 @@
 	// responses that wait for earlier ones.
 	readAhead atomic.Int64
 	heldBytes atomic.Int64
+	// awaitedCloses counts the connections with unread bodies that wait for their callers to close them.
+	awaitedCloses atomic.Int64
 	// drains is set once each connection is closed after the response to the last request that was read.
 	drains atomic.Bool
 	// mu guards connections, the open ones.
