--- a/core/refusalshare/refusalshare.go
+++ b/core/refusalshare/refusalshare.go
@@ -25,48 +25,45 @@
 // RefusalShare counts what became of the requests of one route for one service on this host. The zero value has seen none. It
 // is immutable.
 type RefusalShare struct {
-	// served, refused and refusedEarly count requests that the service took, that it refused, and that were refused before
-	// their body was read. They fall exponentially since at.
-	served, refused, refusedEarly float64
-	at                            time.Time
+	// served counts the requests that the service took, and offered all that are known of, those refused early included. Both
+	// fall exponentially since at.
+	served, offered float64
+	at              time.Time
 	// until is the end of the time in which bodies are refused after the last refusal by the service, and roomAt the time at
 	// which the service expected room.
 	until, roomAt time.Time
 }
 
-// WithServed returns the share after the service has taken a request.
-func (s RefusalShare) WithServed(now time.Time) RefusalShare {
+// WithServed returns the share after the service has taken a request. The weight is the one that [RefusalShare.Weight] returned when
+// the body was let through.
+func (s RefusalShare) WithServed(weight float64, now time.Time) RefusalShare {
 	s = s.advancedTo(now)
 	s.served++
+	s.offered += weight
 	return s
 }
 
-// WithRefused returns the share after the service has refused a request for overload, with its Retry-After.
-func (s RefusalShare) WithRefused(retryAfter time.Duration, now time.Time) RefusalShare {
+// WithRefused returns the share after the service has refused a request for overload, with its Retry-After and weight.
+func (s RefusalShare) WithRefused(weight float64, retryAfter time.Duration, now time.Time) RefusalShare {
 	s = s.advancedTo(now)
-	s.refused++
+	s.offered += weight
 	s.until, s.roomAt = now.Add(min(max(retryAfter, minPause), maxPause)), now.Add(retryAfter)
 	return s
 }
 
-// WithRefusedEarly returns the share after a request was refused before its body was read.
-func (s RefusalShare) WithRefusedEarly(now time.Time) RefusalShare {
-	s = s.advancedTo(now)
-	s.refusedEarly++
-	return s
-}
-
 // Share returns the share of bodies to be refused before they are read. It is below the share of requests that were refused
 // lately, and 0 once a pause has passed without another refusal by the service.
 func (s RefusalShare) Share(now time.Time) float64 {
 	if !now.Before(s.until) {
 		return 0
 	}
-	s = s.advancedTo(now)
-	all := s.served + s.refused + s.refusedEarly
-	return min(maxShare, relaxation*(s.refused+s.refusedEarly)/all)
+	return min(maxShare, relaxation*(1-s.served/s.offered))
 }
 
+// Weight returns for how many requests one stands that is let through now: it and those that are refused early meanwhile. The
+// share can thus be computed from outcomes alone, which are known only later.
+func (s RefusalShare) Weight(now time.Time) float64 { return 1 / (1 - s.Share(now)) }
+
 // RetryAfter returns when a caller that is refused early may return: once the service expects room, spread over as
 // much time again. The spread is from 0 to 1.
 func (s RefusalShare) RetryAfter(spread float64, now time.Time) time.Duration {
@@ -83,7 +80,7 @@
 	}
 	if !s.at.IsZero() {
 		left := math.Exp(-now.Sub(s.at).Seconds() / memory.Seconds())
-		s.served, s.refused, s.refusedEarly = s.served*left, s.refused*left, s.refusedEarly*left
+		s.served, s.offered = s.served*left, s.offered*left
 	}
 	s.at = now
 	return s
--- a/core/uploads/uploads.go
+++ b/core/uploads/uploads.go
@@ -50,9 +50,8 @@
 	h := u.destinations[destination{o.Route, o.Service}]
 	spread := o.Spread()
 	if share := h.refusals.Share(now); !o.IsSharded && spread < share {
-		h.refusals = h.refusals.WithRefusedEarly(now)
 		// Within those that are refused the spread is even again.
-		return u.with(o, h, now), admission.Refused{Reason: admission.Overload, RetryAfter: h.refusals.RetryAfter(spread/share, now)}
+		return u, admission.Refused{Reason: admission.Overload, RetryAfter: h.refusals.RetryAfter(spread/share, now)}
 	}
 	objective := o.Objective.Sub(now)
 	work := min(h.work.Mean(0), time.Duration(maxWorkShare*float64(objective)))
@@ -60,7 +59,7 @@
 		return u, admission.Refused{Reason: admission.Link, RetryAfter: after}
 	}
 	u.link = u.link.WithBody(o.ID, o.Length, now)
-	return u, admission.Admitted{}
+	return u, admission.Admitted{Weight: h.refusals.Weight(now)}
 }
 
 // WithRead returns the state after n bytes of an admitted body were read.
@@ -93,23 +92,26 @@
 	return u
 }
 
-// WithServed returns the state after the response to an admitted body, with the time since the end of the body.
-func (u Uploads) WithServed(o upload.Upload, work time.Duration, now time.Time) Uploads {
+// WithServed returns the state after the response to an admitted body, with its weight and the time since the end of the body.
+func (u Uploads) WithServed(o upload.Upload, weight float64, work time.Duration, now time.Time) Uploads {
 	h := u.destinations[destination{o.Route, o.Service}]
-	h.refusals, h.work = h.refusals.WithServed(now), h.work.With(work)
+	h.refusals, h.work = h.refusals.WithServed(weight, now), h.work.With(work)
 	return u.with(o, h, now)
 }
 
-// WithRefused returns the state after the service has refused an admitted body for overload.
-func (u Uploads) WithRefused(o upload.Upload, retryAfter time.Duration, now time.Time) Uploads {
+// WithRefused returns the state after the service has refused an admitted body for overload, with its weight.
+func (u Uploads) WithRefused(o upload.Upload, weight float64, retryAfter time.Duration, now time.Time) Uploads {
 	h := u.destinations[destination{o.Route, o.Service}]
-	h.refusals = h.refusals.WithRefused(retryAfter, now)
+	h.refusals = h.refusals.WithRefused(weight, retryAfter, now)
 	return u.with(o, h, now)
 }
 
 // LinkBytes returns the bytes of admitted bodies that are still to cross the link, to or from the host.
 func (u Uploads) LinkBytes(now time.Time) float64 { return u.link.Remaining(now) }
 
+// Destinations returns the number of routes and services whose outcomes are kept.
+func (u Uploads) Destinations() int { return len(u.destinations) }
+
 // with returns the state with the history of a destination. Beyond maxDestinations, forgotten ones make room.
 func (u Uploads) with(o upload.Upload, h history, now time.Time) Uploads {
 	next := make(map[destination]history, len(u.destinations)+1)
--- a/io/ingress/longbodies.go
+++ b/io/ingress/longbodies.go
@@ -43,10 +43,11 @@
 		next, answer = old.WithOffer(u, now)
 		return next
 	})
-	if _, ok := answer.(admission.Admitted); ok {
-		return &longBody{upload: u, owner: b}, answer
+	admitted, ok := answer.(admission.Admitted)
+	if !ok {
+		return nil, answer
 	}
-	return nil, answer
+	return &longBody{upload: u, weight: admitted.Weight, owner: b}, answer
 }
 
 // countShort counts a request and its response, without a long body. Both cross the link twice.
--- a/io/ingress/longbody.go
+++ b/io/ingress/longbody.go
@@ -14,6 +14,8 @@
 // longBody is an admitted body. A nil longBody is a body that is not decided on. Only the goroutine of its request uses it.
 type longBody struct {
 	upload upload.Upload
+	// weight is that of the admission.
+	weight float64
 	owner  *longBodies
 	// from is the body on the connection.
 	from io.ReadCloser
@@ -54,9 +56,9 @@
 	refused, isRefused := failure.(outcome.NotRun)
 	switch {
 	case response != nil:
-		b.update(func(old uploads.Uploads) uploads.Uploads { return old.WithServed(b.upload, now.Sub(b.readAt), now) })
+		b.update(func(old uploads.Uploads) uploads.Uploads { return old.WithServed(b.upload, b.weight, now.Sub(b.readAt), now) })
 	case isRefused && (refused.Reason == string(placement.Overload) || refused.Reason == string(placement.Expired)):
-		b.update(func(old uploads.Uploads) uploads.Uploads { return old.WithRefused(b.upload, refused.RetryAfter, now) })
+		b.update(func(old uploads.Uploads) uploads.Uploads { return old.WithRefused(b.upload, b.weight, refused.RetryAfter, now) })
 	}
 }
 
