--- a/core/linkload/linkload.go
+++ b/core/linkload/linkload.go
@@ -4,18 +4,19 @@
 
 import (
 	"maps"
-	"math"
 	"time"
 
 	"redwingsill/core/transfer"
 )
 
 const (
-	// maxDelay is how long a packet of a short request may wait behind bodies. Short requests have objectives of a few
-	// hundred milliseconds, of which the work takes a third.
-	maxDelay = 200 * time.Millisecond
-	// rateWindow is the time over which the rate of short traffic is averaged.
-	rateWindow = time.Second
+	// busyDelay and idleDelay are how long a packet of a short request may wait behind bodies, on a link that has been busy with
+	// them and on one that has been idle. Short requests have objectives of a few hundred milliseconds, of which the work takes
+	// a third. On a link that is mostly idle few of them meet a body, and the shorter delay would refuse one body in
+	// twelve there.
+	busyDelay, idleDelay = 150 * time.Millisecond, 500 * time.Millisecond
+	// rateWindow is the time over which the rates of bodies and of short traffic are averaged.
+	rateWindow = 2 * time.Second
 	// minBodyShare is the part of the link that counts as free for bodies however much short traffic there is, as the
 	// rate of short traffic is an estimate.
 	minBodyShare = 0.2
@@ -33,9 +34,8 @@
 	// bytesPerSecond is the capacity, in both directions together.
 	bytesPerSecond float64
 	bodies         map[uint64]transfer.Transfer
-	// shortRate is the rate of short traffic in bytes a second at shortAt.
-	shortRate float64
-	shortAt   time.Time
+	// shortRate is the rate of short traffic, and bodyRate that of admitted bodies, in bytes a second over the link.
+	shortRate, bodyRate trafficRate
 }
 
 // New returns an idle link of the given capacity in Mbit/s. 0 means that it is unknown.
@@ -46,6 +46,7 @@
 
 // WithBody returns the load with a body that was admitted. Its length is -1 if it was not announced.
 func (l LinkLoad) WithBody(id uint64, length int64, now time.Time) LinkLoad {
+	l.bodyRate = l.bodyRate.with(2*float64(lengthOf(length)), now)
 	return l.with(id, transfer.New(lengthOf(length), now))
 }
 
@@ -85,10 +86,7 @@
 
 // WithShort returns the load after bytes of short traffic.
 func (l LinkLoad) WithShort(bytes int64, now time.Time) LinkLoad {
-	l.shortRate = l.shortRateAt(now) + float64(bytes)/rateWindow.Seconds()
-	if now.After(l.shortAt) {
-		l.shortAt = now
-	}
+	l.shortRate = l.shortRate.with(float64(bytes), now)
 	return l
 }
 
@@ -110,17 +108,18 @@
 		return 0, true
 	}
 	own := 2 * float64(lengthOf(length))
-	rate := max(minBodyShare*l.bytesPerSecond, l.bytesPerSecond-l.shortRateAt(now))
+	rate := max(minBodyShare*l.bytesPerSecond, l.bytesPerSecond-l.shortRate.at(now))
+	delay := l.maxDelay(now)
 	queued := 0.0
 	for _, t := range l.bodies {
-		queued += t.Queued(now, l.bytesPerSecond, maxDelay)
+		queued += t.Queued(now, l.bytesPerSecond, delay)
 	}
 	limit := objective
 	if duration(own/rate)+work > objective {
 		limit = deadline
 	}
 	remaining := l.Remaining(now)
-	excess := queued + own/2 - l.bytesPerSecond*maxDelay.Seconds()
+	excess := queued + own/2 - l.bytesPerSecond*delay.Seconds()
 	if queued == 0 {
 		excess = 0 // a body that is longer than the room for bodies passes alone
 	}
@@ -132,6 +131,12 @@
 	return max(minRetryAfter, room) + time.Duration(spread*float64(max(minRetryAfter, room))), false
 }
 
+// maxDelay returns how long a packet may wait behind bodies.
+func (l LinkLoad) maxDelay(now time.Time) time.Duration {
+	idle := max(0, 1-l.bodyRate.at(now)/l.bytesPerSecond)
+	return busyDelay + time.Duration(idle*float64(idleDelay-busyDelay))
+}
+
 func (l LinkLoad) with(id uint64, t transfer.Transfer) LinkLoad {
 	next := make(map[uint64]transfer.Transfer, len(l.bodies)+1)
 	maps.Copy(next, l.bodies)
@@ -140,11 +145,6 @@
 	return l
 }
 
-// shortRateAt returns the rate of short traffic, which falls exponentially since shortAt.
-func (l LinkLoad) shortRateAt(now time.Time) float64 {
-	return l.shortRate * math.Exp(-max(0, now.Sub(l.shortAt).Seconds())/rateWindow.Seconds())
-}
-
 func lengthOf(announced int64) int64 {
 	if announced < 0 {
 		return assumedLength
