--- a/core/uploads/uploads.go
+++ b/core/uploads/uploads.go
@@ -20,6 +20,10 @@
 // refused and nothing would show that the queues have ended.
 const maxWorkShare = 0.5
 
+// maxRefusedBytes is what a caller sends of a refused body before it has the refusal, in bytes: what the receive buffer of its
+// connection holds.
+const maxRefusedBytes = 32 << 10
+
 // Uploads is the state of the long bodies on one host. The zero value, of a link of unknown capacity, admits all. It is immutable.
 type Uploads struct {
 	link         linkload.LinkLoad
@@ -51,17 +55,25 @@
 	spread := o.Spread()
 	if share := h.refusals.Share(now); !o.IsSharded && spread < share {
 		// Within those that are refused the spread is even again.
-		return u, admission.Refused{Reason: admission.Overload, RetryAfter: h.refusals.RetryAfter(spread/share, now)}
+		return u.withRefusedBytes(o, now), admission.Refused{Reason: admission.Overload, RetryAfter: h.refusals.RetryAfter(spread/share, now)}
 	}
 	objective := o.Objective.Sub(now)
 	work := min(h.work.Mean(0), time.Duration(maxWorkShare*float64(objective)))
 	if after, ok := u.link.Admit(o.Length, work, objective, o.Deadline.Sub(now), spread, now); !ok {
-		return u, admission.Refused{Reason: admission.Link, RetryAfter: after}
+		return u.withRefusedBytes(o, now), admission.Refused{Reason: admission.Link, RetryAfter: after}
 	}
 	u.link = u.link.WithBody(o.ID, o.Length, now)
 	return u, admission.Admitted{Weight: h.refusals.Weight(now)}
 }
 
+// withRefusedBytes returns the state with what the caller of a refused body sends of it all the same.
+func (u Uploads) withRefusedBytes(o upload.Upload, now time.Time) Uploads {
+	if o.Length < 0 || o.Length > maxRefusedBytes {
+		o.Length = maxRefusedBytes
+	}
+	return u.WithShort(o.Length, now)
+}
+
 // WithRead returns the state after n bytes of an admitted body were read.
 func (u Uploads) WithRead(id uint64, n int64) Uploads {
 	u.link = u.link.WithRead(id, n)
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +38,7 @@
 	"redwingsill/io/origin"
 	"redwingsill/io/slotclient"
 	"redwingsill/io/slotserver"
+	"redwingsill/io/tcp"
 )
 
 var names = headers.Names{AttemptID: "X-Attempt", Deadline: "X-Deadline", Seal: "X-Seal", ExpectInstance: "X-Expect", InstanceID: "X-Instance",
@@ -55,9 +57,16 @@
 	forwarder *forward.Forwarder
 	address   string
 	backend   *fakeBackend
+	// read counts the bytes that the host has read from callers.
+	read atomic.Int64
 }
 
 func newEntryHost(t *testing.T, bodyMemory int64, backend *fakeBackend) *entryHost {
+	return newBoundedHost(t, bodyMemory, uploads.Uploads{}, backend)
+}
+
+// newBoundedHost is like newEntryHost for a host whose link is known.
+func newBoundedHost(t *testing.T, bodyMemory int64, initial uploads.Uploads, backend *fakeBackend) *entryHost {
 	log := slog.New(slog.DiscardHandler)
 	server := instance.Instance{ID: "i-1", Service: "s", Address: backend.listener.Addr().String(), DataCentre: "ilo", Slots: 50}
 	slots := slotserver.New(time.Now)
@@ -81,12 +90,16 @@
 	t.Cleanup(closeClient)
 	f := forward.New("ilo", forward.RetryBudget{Window: 10 * time.Second}, routes, rcu.New(roster.New(server)), hosts,
 		rcu.New(announcements.Announcements{}), func(string, instance.Instance, announcement.Announcement) {}, slotClient, client, noMetrics{}, time.Now, log)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	callers := net.ListenConfig{}
+	if initial.IsBounded() {
+		callers.Control = tcp.ReceiveBuffer(16 << 10) // as package platform does
+	}
+	listener, err := callers.Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &entryHost{Ingress: ingress.New(names, bodyMemory, uploads.Uploads{}, noMetrics{}, routes, f, time.Now, log), forwarder: f, address: listener.Addr().String(), backend: backend}
-	_, stop := h.Serve(context.Background(), listener)
+	h := &entryHost{Ingress: ingress.New(names, bodyMemory, initial, noMetrics{}, routes, f, time.Now, log), forwarder: f, address: listener.Addr().String(), backend: backend}
+	_, stop := h.Serve(context.Background(), countingListener{listener, &h.read})
 	t.Cleanup(stop)
 	return h
 }
--- a/io/ingress/longbody.go
+++ b/io/ingress/longbody.go
@@ -56,9 +56,13 @@
 	refused, isRefused := failure.(outcome.NotRun)
 	switch {
 	case response != nil:
-		b.update(func(old uploads.Uploads) uploads.Uploads { return old.WithServed(b.upload, b.weight, now.Sub(b.readAt), now) })
+		b.update(func(old uploads.Uploads) uploads.Uploads {
+			return old.WithServed(b.upload, b.weight, now.Sub(b.readAt), now)
+		})
 	case isRefused && (refused.Reason == string(placement.Overload) || refused.Reason == string(placement.Expired)):
-		b.update(func(old uploads.Uploads) uploads.Uploads { return old.WithRefused(b.upload, b.weight, refused.RetryAfter, now) })
+		b.update(func(old uploads.Uploads) uploads.Uploads {
+			return old.WithRefused(b.upload, b.weight, refused.RetryAfter, now)
+		})
 	}
 }
 
