--- a/io/forward/forwarder_test.go
+++ b/io/forward/forwarder_test.go
@@ -30,6 +30,7 @@
 	"redwingsill/core/routetable"
 	"redwingsill/core/routing"
 	"redwingsill/core/rule"
+	"redwingsill/core/uploads"
 	"redwingsill/io/datagram"
 	"redwingsill/io/forward"
 	"redwingsill/io/headers"
@@ -47,6 +48,7 @@
 func (noMetrics) ObserveRequest(string, int, string, time.Duration) {}
 func (noMetrics) CountAttempt(string, attemptresult.Status)         {}
 func (noMetrics) CountInvalidResponse(string)                       {}
+func (noMetrics) CountRefusedBody(string, string)                   {}
 
 // repeatingServer is a faulty backend server: it answers the first request without running it, and writes a copy of that answer before
 // its response to the next request on the same connection.
@@ -149,7 +151,7 @@
 	t.Cleanup(closeClient)
 	f := forward.New("ilo", forward.RetryBudget{Window: 10 * time.Second, Extra: retries}, routes, rcu.New(known), hosts,
 		rcu.New(announcements.Announcements{}), func(string, instance.Instance, announcement.Announcement) {}, slotClient, client, noMetrics{}, time.Now, log)
-	frontEnd := httptest.NewServer(ingress.New(names, 1<<20, routes, f, time.Now, log))
+	frontEnd := httptest.NewServer(ingress.New(names, 1<<20, uploads.Uploads{}, noMetrics{}, routes, f, time.Now, log))
 	t.Cleanup(frontEnd.Close)
 	return frontEnd.URL
 }
--- a/io/platformmetrics/platformmetrics.go
+++ b/io/platformmetrics/platformmetrics.go
@@ -28,6 +28,7 @@
 	pauses          *prometheus.CounterVec
 	invalid         *prometheus.CounterVec
 	coldChecks      *prometheus.CounterVec
+	refusedBodies   *prometheus.CounterVec
 }
 
 // New returns metrics with their collectors registered.
@@ -53,9 +54,11 @@
 			Help: "Texts in place of a response that backend servers sent, by service."}, []string{"service"}),
 		coldChecks: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_cold_checks_total",
 			Help: "Health requests to backend servers that may have turned cold, by service and whether they had."}, []string{"service", "is_cold"}),
+		refusedBodies: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "redwingsill_refused_bodies_total",
+			Help: "Requests that were refused before their long body was read, by service and reason."}, []string{"service", "reason"}),
 	}
 	m.registry.MustRegister(m.requestDuration, m.attempts, m.storeCalls, m.rangesFreed, m.rangesFenced, m.leavingServers, m.pauses, m.invalid,
-		m.coldChecks)
+		m.coldChecks, m.refusedBodies)
 	return m
 }
 
@@ -88,6 +91,11 @@
 	m.coldChecks.WithLabelValues(service, strconv.FormatBool(isCold)).Inc()
 }
 
+// CountRefusedBody counts a request for a service that was refused before its long body was read, by the reason.
+func (m *Metrics) CountRefusedBody(service, reason string) {
+	m.refusedBodies.WithLabelValues(service, reason).Inc()
+}
+
 // CountStoreCall counts a call to the platform's key-value store. The parameter call is the operation, and result is
 // "Done" or an error kind, or "UnreadableItem" for an item that was left out of a response.
 func (m *Metrics) CountStoreCall(call, result string) {
