Keyed requests that would be late are refused at arrival, and short time-outs are no failures

Cause: a request for an owner without a free slot waited as long as its deadline allowed, so that under overload all were answered just too late; and a request that had waited long and then reached its deadline at the server made the server back off for 0.4 s or more, in which all requests for its keys were refused. Change: core/arrival refuses at arrival what is expected after the objective, by the owner's own service time with a margin. A time-out counts as the server's failure only after four of its mean service times.

--- /dev/null
+++ b/core/arrival/arrival.go
@@ -0,0 +1,28 @@
+// Package arrival decides whether a request that has just arrived waits for the one backend server that can run it. It answers the load of
+// an owner of keys that is asked for more than it can run: if all requests waited as long as their deadline allows, each would be
+// answered just too late for its objective, and the slots would serve nobody in time.
+package arrival
+
+import "time"
+
+// margin times the mean service time is the time by which a request counts as answered. Service times vary: with the mean itself, a
+// quarter of the requests that an overloaded server runs end late.
+const margin = 1.5
+
+// Arrival is a request at its arrival, while no slot of its server is free.
+type Arrival struct {
+	// Wait is the expected time until the request starts, and ServiceTime the mean time that its server then takes.
+	Wait, ServiceTime time.Duration
+	// ToObjective is the time left until the objective. It is 0 or less if the objective has passed or the route has none.
+	ToObjective time.Duration
+}
+
+// IsRefused reports whether the request is refused at once, since it is expected to be answered after its objective. Its caller can
+// then use the time that is left, for a return or otherwise. A request without an objective that can be met waits for its deadline.
+func (a Arrival) IsRefused() bool {
+	return a.ToObjective > 0 && a.Wait+time.Duration(margin*float64(a.ServiceTime)) > a.ToObjective
+}
+
+// RetryAfter returns when the requests that are ahead now will have started. Callers are refused one by one as they arrive, so
+// their returns are spread as their arrivals were.
+func (a Arrival) RetryAfter() time.Duration { return a.Wait }
--- a/core/pool/constants.go
+++ b/core/pool/constants.go
@@ -21,6 +21,9 @@
 	// a row.
 	minBackoff = 400 * time.Millisecond
 	maxBackoff = 3200 * time.Millisecond
+	// silenceFactor times the mean service time is how long a server must not have answered before a time-out counts as its
+	// failure. A machine that is slow for a moment takes three times as long.
+	silenceFactor = 4
 	// hostBlockTime is how long a host that could not reach a server gets no slots there. minUnreachableHosts is how
 	// many hosts must be unable to reach a server before no host gets slots there, since a network partition may cut
 	// off only some hosts.
--- a/core/pool/slotrequests.go
+++ b/core/pool/slotrequests.go
@@ -38,6 +38,10 @@
 		return p, []placement.Placement{placement.Refuse{Ticket: request.Ticket, Reason: placement.Overload,
 			RetryAfter: min(maxRetryAfter, max(minRetryAfter, wait+p.serviceTimeOf(request.Rank)-left))}}
 	}
+	if a, ok := p.arrivalAt(n, request, now); ok && a.IsRefused() {
+		return p, []placement.Placement{placement.Refuse{Ticket: request.Ticket, Reason: placement.Overload,
+			RetryAfter: min(maxRetryAfter, max(minRetryAfter, a.RetryAfter()))}}
+	}
 	p = p.withQueue(n, p.queues[n].With(request, p.willMissObjective(request, now)))
 	p.waiting = p.waiting.Set(request.Ticket, queuedRequest{queue: n, queuedAt: now})
 	return p.withDispatched(n, now)
@@ -96,7 +100,11 @@
 		s = s.withAttempt(true)
 	case attemptresult.Unreachable:
 		s = s.withUnreachable(host, now)
-	case attemptresult.Replaced, attemptresult.TimedOut:
+	case attemptresult.TimedOut:
+		if !ok || p.showsSilence(s, ended.rank, r.Duration) {
+			s = s.withAttempt(true).withBackoff(now)
+		}
+	case attemptresult.Replaced:
 		s = s.withAttempt(true).withBackoff(now)
 	case attemptresult.NotOwner, attemptresult.Left, attemptresult.Unsent:
 	}
