Refusal at arrival only behind as many waiting requests as there are slots

Cause: on small deployments whose servers have two slots, an owner's slots are in use at times without overload; refusing then served callers worse than the late answer. Change: the rule applies once as many requests wait for the owner as it has slots. TestOverloadedOwnerServesInTimeThoseThatItServes passes unchanged.

--- a/core/arrival/arrival.go
+++ b/core/arrival/arrival.go
@@ -5,7 +5,7 @@
 
 import "time"
 
-// Arrival is a request at its arrival, while no slot of its server is free.
+// Arrival is a request at its arrival, while others wait for its server.
 type Arrival struct {
 	// Wait is the expected time until the request starts, and ServiceTime the mean time that its server then takes.
 	Wait, ServiceTime time.Duration
--- a/core/pool/arrival.go
+++ b/core/pool/arrival.go
@@ -8,9 +8,10 @@
 )
 
 // arrivalAt returns a new request of queue n as one that waits for a slot of its key's owner. The result is false if other servers can
-// run the request, or the owner has a free slot.
+// run the request, or fewer requests wait for the owner than it has slots: such a queue ends within one service time, and a late
+// answer serves its callers better than a refusal.
 func (p Pool) arrivalAt(n int, r slotrequest.SlotRequest, now time.Time) (arrival.Arrival, bool) {
-	if n == p.commonQueue() || p.servers[n].freeSlots(p.share, now) > 0 {
+	if n == p.commonQueue() || p.queues[n].Len() < p.servers[n].instance.Slots {
 		return arrival.Arrival{}, false
 	}
 	return arrival.Arrival{Wait: p.expectedWait(n, r, now), ServiceTime: p.ownTime(p.servers[n], r.Rank), ToObjective: r.Objective.Sub(now)}, true
