--- a/core/pool/coldsuspicion.go
+++ b/core/pool/coldsuspicion.go
@@ -24,7 +24,7 @@
 
 // withColdEvidence returns the server after an attempt that took some time. The time is compared with the usual one of the server
 // itself, to which slow answers don't contribute: the mean of the service follows when many servers turn cold together. Refusals and
-// failures are taken for signs of a cold server that has too much to do.
+// failures count as evidence too, since a cold server that has too much to do sheds requests or fails.
 func (s server) withColdEvidence(status attemptresult.Status, took time.Duration, now time.Time) server {
 	switch status {
 	case attemptresult.Answered:
--- a/core/uploads/uploads.go
+++ b/core/uploads/uploads.go
@@ -8,8 +8,6 @@
 
 	"redwingsill/core/admission"
 	"redwingsill/core/linkload"
-	"redwingsill/core/refusalshare"
-	"redwingsill/core/servicetime"
 	"redwingsill/core/upload"
 )
 
@@ -30,16 +28,6 @@
 	destinations map[destination]history
 }
 
-// destination is a service of a route. A route has one rank.
-type destination struct{ route, service string }
-
-// history is what became of the uploads for a destination.
-type history struct {
-	refusals refusalshare.RefusalShare
-	// work is the time from the end of a body to the response.
-	work servicetime.Average
-}
-
 // New returns the state of a host with the given link.
 func New(link linkload.LinkLoad) Uploads { return Uploads{link: link} }
 
@@ -124,7 +112,7 @@
 // Destinations returns the number of routes and services whose outcomes are kept.
 func (u Uploads) Destinations() int { return len(u.destinations) }
 
-// with returns the state with the history of a destination. Beyond maxDestinations, forgotten ones make room.
+// with returns the state with the history of a destination. Beyond maxDestinations, histories without an effect are dropped first.
 func (u Uploads) with(o upload.Upload, h history, now time.Time) Uploads {
 	next := make(map[destination]history, len(u.destinations)+1)
 	maps.Copy(next, u.destinations)
