Tests of the processes wait until the platform's stand-in listens

Change: the set-up waits until both stand-ins accept connections. No check changes. Measured: go test -race ./io/commandline passes beside the same load.

--- a/io/commandline/deployment_test.go
+++ b/io/commandline/deployment_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -64,6 +65,8 @@
 	d.resourcesFile = d.writeJSON("resources.json", d.resourcesJSON())
 	d.start("standin", "platform", "--address", d.platformAddress, "--hosts", d.writeJSON("hosts.json", map[string]any{"Hosts": d.hostEntries}))
 	d.start("standin", "monitor", "--address", d.monitorAddress)
+	// The hosts read the configuration from the platform, and the command below tries only once.
+	d.until(5*time.Second, func() bool { return accepts(d.platformAddress) && accepts(d.monitorAddress) })
 	for name := range d.serverAddresses {
 		d.serverProcesses[name] = d.start("standin", "server", "--configuration", d.resourcesFile, "--name", name, "--cold-for", "0s", "--service-time", "5ms")
 	}
@@ -77,6 +80,16 @@
 	return d
 }
 
+// accepts reports whether a process listens at an address.
+func accepts(address string) bool {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // resourcesJSON returns the configuration file: the data centre, one service that is divided by key, its backend servers and
 // one rank.
 func (d *deployment) resourcesJSON() any {
