review: an upload to a server that reads slowly is broken off after SIGTERM

A machine that has passed a long upload on ends it with a 502 of its own once the server's window has been closed for 1.2 s, since the connection has TCP_USER_TIMEOUT.

--- /dev/null
+++ b/review/second/server.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"redwingsill/io/tcp"
+)
+
+// receiveBuffer is the size in bytes of the receive buffer of a server's connections. Links have small windows on the platform.
+const receiveBuffer = 64 << 10
+
+// server is a backend server without keys: it reads a request's head, tells what it does with the rest by a function, and answers.
+type server struct {
+	id, address, service string
+	record               *record
+	born                 int64
+	// readBody reads the body of a request. It may be slow.
+	readBody func(attempt string, body io.Reader) error
+	work     time.Duration
+}
+
+// newServer starts a server and writes its entry into the store, again and again.
+func (d *deployment) newServer(id, service string, work time.Duration, readBody func(string, io.Reader) error) error {
+	config := net.ListenConfig{Control: tcp.ReceiveBuffer(receiveBuffer)}
+	l, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s := &server{id: id, address: l.Addr().String(), service: service, record: d.record, born: time.Now().UnixMilli(), readBody: readBody, work: work}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	go func() {
+		for n := 1; ; n++ {
+			d.store.Put("servers/"+id, map[string]any{"service": service, "address": s.address, "zone": "ilo", "config_version": "v1", "slots": 4, "state": "ready",
+				"warmup_left": "0ms", "sequence": n, "born": s.born})
+			time.Sleep(870 * time.Millisecond)
+		}
+	}()
+	return nil
+}
+
+// serve serves one connection.
+func (s *server) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		attempt := r.Header.Get("X-Redwingsill-Attempt-Id")
+		if expected := r.Header.Get("X-Redwingsill-Expect-Instance"); expected != "" && expected != s.id {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Redwingsill-Not-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			return
+		}
+		s.record.began(attempt)
+		s.record.add("server %s begins to work on %s %s %s (length %d)", s.id, attempt, r.Method, r.RequestURI, r.ContentLength)
+		if err := s.readBody(attempt, r.Body); err != nil {
+			s.record.add("server %s: the body of %s broke off: %v", s.id, attempt, err)
+			return
+		}
+		time.Sleep(s.work)
+		body := strings.Join([]string{r.Method, r.RequestURI, attempt}, " ")
+		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Redwingsill-Attempt-Id: %s\r\nX-Redwingsill-Instance-Id: %s\r\nX-Redwingsill-Server-Seal: seal-%s\r\nX-Redwingsill-Server-Load: 1,0,4\r\nContent-Length: %d\r\n\r\n%s",
+			attempt, s.id, s.id, len(body), body)
+		s.record.add("server %s answers %s with 200 (%v)", s.id, attempt, err)
+		if err != nil {
+			return
+		}
+	}
+}
+
+// readAtOnce reads a body as fast as it comes.
+func readAtOnce(_ string, body io.Reader) error {
+	_, err := io.Copy(io.Discard, body)
+	return err
+}
