review: an order that has run is answered with the promise that it has not

A server that fails part of its requests with 408, after it has run them, has this status passed on to the caller, for whom it promises that the request has not run. 503 and 429 of such a server become 502.

--- a/review/second/oldconfig.go
+++ b/review/second/oldconfig.go
@@ -33,7 +33,7 @@
 		routes = append(routes, route{fmt.Sprintf("xapu%03d-ny%05d", i%100, i), "idempotent", "before", "2500ms"})
 	}
 	for _, service := range []string{"before", "after"} {
-		if err := d.newServer(service+"-1", service, 5*time.Millisecond, readAtOnce); err != nil {
+		if err := d.newServer(&server{id: service + "-1", service: service, readBody: readAtOnce, work: 5 * time.Millisecond}); err != nil {
 			return false, err
 		}
 	}
--- a/review/second/server.go
+++ b/review/second/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"redwingsill/io/tcp"
@@ -24,16 +25,22 @@
 	// readBody reads the body of a request. It may be slow.
 	readBody func(attempt string, body io.Reader) error
 	work     time.Duration
+	// statusOf returns the status line's end for the answer to a run, which are counted from 1. It is 200 by default.
+	statusOf func(run int) string
+	runs     atomic.Int64
 }
 
 // newServer starts a server and writes its entry into the store, again and again.
-func (d *deployment) newServer(id, service string, work time.Duration, readBody func(string, io.Reader) error) error {
+func (d *deployment) newServer(s *server) error {
 	config := net.ListenConfig{Control: tcp.ReceiveBuffer(receiveBuffer)}
 	l, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	s := &server{id: id, address: l.Addr().String(), service: service, record: d.record, born: time.Now().UnixMilli(), readBody: readBody, work: work}
+	s.address, s.record, s.born = l.Addr().String(), d.record, time.Now().UnixMilli()
+	if s.statusOf == nil {
+		s.statusOf = func(int) string { return "200 OK" }
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -45,7 +52,7 @@
 	}()
 	go func() {
 		for n := 1; ; n++ {
-			d.store.Put("servers/"+id, map[string]any{"service": service, "address": s.address, "zone": "ilo", "config_version": "v1", "slots": 4, "state": "ready",
+			d.store.Put("servers/"+s.id, map[string]any{"service": s.service, "address": s.address, "zone": "ilo", "config_version": "v1", "slots": 4, "state": "ready",
 				"warmup_left": "0ms", "sequence": n, "born": s.born})
 			time.Sleep(870 * time.Millisecond)
 		}
@@ -75,9 +82,10 @@
 		}
 		time.Sleep(s.work)
 		body := strings.Join([]string{r.Method, r.RequestURI, attempt}, " ")
-		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Redwingsill-Attempt-Id: %s\r\nX-Redwingsill-Instance-Id: %s\r\nX-Redwingsill-Server-Seal: seal-%s\r\nX-Redwingsill-Server-Load: 1,0,4\r\nContent-Length: %d\r\n\r\n%s",
-			attempt, s.id, s.id, len(body), body)
-		s.record.add("server %s answers %s with 200 (%v)", s.id, attempt, err)
+		status := s.statusOf(int(s.runs.Add(1)))
+		_, err = fmt.Fprintf(c, "HTTP/1.1 %s\r\nX-Redwingsill-Attempt-Id: %s\r\nX-Redwingsill-Instance-Id: %s\r\nX-Redwingsill-Server-Seal: seal-%s\r\nX-Redwingsill-Server-Load: 1,0,4\r\nContent-Length: %d\r\n\r\n%s",
+			status, attempt, s.id, s.id, len(body), body)
+		s.record.add("server %s has run %s and answers %q (%v)", s.id, attempt, status, err)
 		if err != nil {
 			return
 		}
--- a/review/second/slowreader.go
+++ b/review/second/slowreader.go
@@ -32,7 +32,7 @@
 		readBody, work = readSlowly, uploadWork
 	}
 	for i := range uploads {
-		if err := d.newServer(fmt.Sprint("dumpyard-", i+1), "dumpyard", work, readBody); err != nil {
+		if err := d.newServer(&server{id: fmt.Sprint("dumpyard-", i+1), service: "dumpyard", readBody: readBody, work: work}); err != nil {
 			return false, err
 		}
 	}
