review: a success without the server's seal reaches the client

Servers that spoil one byte of the seal's field name in some answers have these passed on as successes; the code never reads the seal.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -11,7 +11,7 @@
 // A play returns whether the rule was broken. With hasTrouble unset it leaves the disruption out.
 type play func(d *deployment, hasTrouble bool) (isBroken bool, err error)
 
-var plays = map[string]play{"slow-reader": slowReader, "old-config": oldConfig, "broken-promise": brokenPromise}
+var plays = map[string]play{"slow-reader": slowReader, "old-config": oldConfig, "broken-promise": brokenPromise, "lost-seal": lostSeal}
 
 func main() { os.Exit(run()) }
 
--- a/review/second/server.go
+++ b/review/second/server.go
@@ -27,7 +27,9 @@
 	work     time.Duration
 	// statusOf returns the status line's end for the answer to a run, which are counted from 1. It is 200 by default.
 	statusOf func(run int) string
-	runs     atomic.Int64
+	// sealFieldOf returns the name of the field with the seal in the answer to a run. It is sealField by default.
+	sealFieldOf func(run int) string
+	runs        atomic.Int64
 }
 
 // newServer starts a server and writes its entry into the store, again and again.
@@ -41,6 +43,9 @@
 	if s.statusOf == nil {
 		s.statusOf = func(int) string { return "200 OK" }
 	}
+	if s.sealFieldOf == nil {
+		s.sealFieldOf = func(int) string { return sealField }
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -82,10 +87,11 @@
 		}
 		time.Sleep(s.work)
 		body := strings.Join([]string{r.Method, r.RequestURI, attempt}, " ")
-		status := s.statusOf(int(s.runs.Add(1)))
-		_, err = fmt.Fprintf(c, "HTTP/1.1 %s\r\nX-Redwingsill-Attempt-Id: %s\r\nX-Redwingsill-Instance-Id: %s\r\nX-Redwingsill-Server-Seal: seal-%s\r\nX-Redwingsill-Server-Load: 1,0,4\r\nContent-Length: %d\r\n\r\n%s",
-			status, attempt, s.id, s.id, len(body), body)
-		s.record.add("server %s has run %s and answers %q (%v)", s.id, attempt, status, err)
+		run := int(s.runs.Add(1))
+		status, seal := s.statusOf(run), s.sealFieldOf(run)
+		_, err = fmt.Fprintf(c, "HTTP/1.1 %s\r\nX-Redwingsill-Attempt-Id: %s\r\nX-Redwingsill-Instance-Id: %s\r\n%s: seal-%s\r\nX-Redwingsill-Server-Load: 1,0,4\r\nContent-Length: %d\r\n\r\n%s",
+			status, attempt, s.id, seal, s.id, len(body), body)
+		s.record.add("server %s has run %s and answers %q, %s (%v)", s.id, attempt, status, seal, err)
 		if err != nil {
 			return
 		}
