--- a/review/second/deployment.go
+++ b/review/second/deployment.go
@@ -13,9 +13,13 @@
 	"syscall"
 	"time"
 
+	"redwingsill/io/standin/loopback"
 	"redwingsill/platform/standin"
 )
 
+// readyTimeout is how long the machines may take to get ready.
+const readyTimeout = 30 * time.Second
+
 // program is what the build line of the deploy file produces.
 const program = "target/redwingsill-platform"
 
@@ -83,9 +87,9 @@
 
 // newMachine writes the settings of a machine and starts it. The store's address may be that of a proxy.
 func (d *deployment) newMachine(name, zone, storeAddress string) (*machine, error) {
-	m := &machine{name: name, front: freeAddress(), readiness: freeAddress(), record: d.record,
+	m := &machine{name: name, front: loopback.FreeAddress(), readiness: loopback.FreeAddress(), record: d.record,
 		settings: filepath.Join(d.directory, name+".json"), logPath: filepath.Join(d.directory, name+".log")}
-	first := freePorts()
+	first := loopback.FreePortPair()
 	m.state = fmt.Sprintf("127.0.0.1:%d", first+1)
 	text, err := json.Marshal(map[string]any{
 		"self": map[string]any{"node_name": name, "role": "entry", "machine_class": "edge", "serves": []string{"edge"}, "ip": "127.0.0.1", "zone": zone, "region": "r",
@@ -151,8 +155,8 @@
 }
 
 // awaitReady waits until all machines are ready.
-func (d *deployment) awaitReady(within time.Duration) bool {
-	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+func (d *deployment) awaitReady() bool {
+	for until := time.Now().Add(readyTimeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, m := range d.machines {
 			if m.isReady() {
@@ -181,31 +185,3 @@
 		fmt.Println(d.directory)
 	}
 }
-
-// freeAddress returns a free loopback address.
-func freeAddress() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err) // no case can run without a port
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-// freePorts returns the first of two free ports that follow each other.
-func freePorts() int {
-	for {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			panic(err) // no case can run without a port
-		}
-		port := l.Addr().(*net.TCPAddr).Port
-		next, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1))
-		_ = l.Close()
-		if err != nil {
-			continue
-		}
-		_ = next.Close()
-		return port
-	}
-}
--- a/review/second/lostseal.go
+++ b/review/second/lostseal.go
@@ -40,7 +40,7 @@
 			return false, err
 		}
 	}
-	if !d.awaitReady(15 * time.Second) {
+	if !d.awaitReady() {
 		return false, errors.New("the machines are not ready")
 	}
 	time.Sleep(time.Second)
--- a/review/second/slowreader.go
+++ b/review/second/slowreader.go
@@ -41,7 +41,7 @@
 			return false, err
 		}
 	}
-	if !d.awaitReady(15 * time.Second) {
+	if !d.awaitReady() {
 		return false, errors.New("the machines are not ready")
 	}
 	time.Sleep(3500 * time.Millisecond) // the machines have been in touch for stable_window
