forward: log the status of the last response of a request that was not answered

A line "request" told the result of the last attempt, but not the status that the backend server sent. A 503 or 429 that is replaced by 502 could not be told from a 500 or a response that broke off.

The field Status holds it, 0 without a response. No behaviour changes. go vet and the tests of io/forward pass.

--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -126,7 +126,7 @@
 		slot.Release(result)
 		f.countAttempt(s.service, result.Status, err)
 		s.history = s.history.WithResult(slot.Incarnation, result.Status)
-		s.result, s.err = result.Status, err
+		s.result, s.err, s.status = result.Status, err, statusOf(response)
 		if result.Status == attemptresult.Answered {
 			return response, nil
 		}
@@ -150,6 +150,14 @@
 	}
 }
 
+// statusOf returns the HTTP status of a response, or 0 if there is none.
+func statusOf(response *origin.Response) int {
+	if response == nil {
+		return 0
+	}
+	return response.Status
+}
+
 // mayBeSent reports whether a request may be sent to the server of its slot. A server that is leaving gets no requests that
 // others can run, and for a while those for its keys. One that has asked for a pause gets none.
 func (f *Forwarder) mayBeSent(s *requestState, to instance.Instance) bool {
@@ -231,6 +239,6 @@
 		return
 	}
 	f.log.Info("request", "ID", s.request.AttemptID, "Outcome", name, "Route", s.route.Name, "Service", s.service, "Key", s.key,
-		"Rank", s.route.Rank, "Server", s.incarnation, "Result", s.result.String(), "Refused", string(s.refusalReason), "Rounds", s.rounds,
+		"Rank", s.route.Rank, "Server", s.incarnation, "Result", s.result.String(), "Status", s.status, "Refused", string(s.refusalReason), "Rounds", s.rounds,
 		"Sent", s.history.Sent, "Configuration", f.routing.Read().Version, "Took", took, "Error", s.err)
 }
--- a/io/forward/requeststate.go
+++ b/io/forward/requeststate.go
@@ -30,6 +30,8 @@
 	incarnation string
 	result      attemptresult.Status
 	err         error
+	// status is the HTTP status of the last response, or 0.
+	status int
 	// refusalReason is why no slot was granted, or empty.
 	refusalReason placement.Reason
 }
