Treat 408 without the not-run statement as a failure of the backend server

Callers saw: orders that a backend server had run and then answered with 408 ended with that 408. They take 408 for a promise that the request has not run, send the order again, and it runs twice.

Cause: two lists of statuses in two packages. io/origin took a response for a failure by its own list (500 and up, 429), so 408 was an answer like 200 and was returned at once. The list of statuses that must not reach a caller (408, 421, 429, 503) was in io/forward and was asked for failures only.

Change: core/responsehead decides from one list how an attempt ended and whether the response may pass. A status that promises that a request has not run is a failure unless the response states that the request was not run, and never passes. So an idempotent request is sent again, another one ends with 502, and the pool of the service counts a failure.

Worse off: callers of a backend server whose own answer is a 408 get 502 without the server's text, or a later answer of another server if the request is idempotent. Among them are uploads to a server that gave up waiting for the body without stating that it did not run the request: their callers no longer send them again by themselves.

--- /dev/null
+++ b/core/responsehead/responsehead.go
@@ -0,0 +1,52 @@
+// Package responsehead decides what a backend server's response says of its request: whether the request may have run, whether the server
+// has failed, and whether the caller may get the response.
+package responsehead
+
+import "redwingsill/core/attemptresult"
+
+// ResponseHead is the part of a response's head that decides. It is immutable.
+type ResponseHead struct {
+	// Status is the HTTP status.
+	Status int
+	// IsNotRun is set if the response states that the request was not run.
+	IsNotRun bool
+	// Server is the ID that the responding server gives itself, or empty.
+	Server string
+}
+
+// Result returns how the attempt at the server with the ID expected has ended.
+func (h ResponseHead) Result(expected string) attemptresult.Status {
+	switch {
+	case h.Status == misdirectedRequest && h.Server != "" && h.Server != expected:
+		return attemptresult.Replaced
+	case h.Status == misdirectedRequest:
+		return attemptresult.NotOwner
+	case h.IsNotRun:
+		return attemptresult.Refused
+	case h.Status >= internalServerError || h.promisesNotRun():
+		return attemptresult.Failed
+	}
+	return attemptresult.Answered
+}
+
+// MayPass reports whether the caller may get the response to the attempt at the server with the ID expected. The status of a failure must
+// not promise that the request has not run, since callers then send even those again that must not run twice.
+func (h ResponseHead) MayPass(expected string) bool {
+	switch h.Result(expected) {
+	case attemptresult.Answered:
+		return true
+	case attemptresult.Failed:
+		return !h.promisesNotRun()
+	default:
+		return false
+	}
+}
+
+// promisesNotRun reports whether callers take the status for a promise that the request has not run and never will.
+func (h ResponseHead) promisesNotRun() bool {
+	switch h.Status {
+	case requestTimeout, misdirectedRequest, tooManyRequests, serviceUnavailable:
+		return true
+	}
+	return false
+}
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net/http"
 	"time"
 
 	"redwingsill/core/announcement"
@@ -138,7 +137,7 @@
 				continue
 			}
 		}
-		if response != nil && passesToCaller(response, result.Status, s.route) {
+		if response != nil && response.MayPass {
 			return response, nil
 		}
 		response.Release()
@@ -176,17 +175,6 @@
 		Announcement: announcement.Announcement{IsLeaving: f.announcements.Read().IsLeaving(incarnation), Pause: f.pauseOf(incarnation)}}
 }
 
-// passesToCaller reports whether the response to an attempt that is not Answered is sent to the caller unchanged.
-// Refusals by the backend server are not, nor are status codes that tell a caller that the request did not run, since
-// it may have run.
-func passesToCaller(response *origin.Response, result attemptresult.Status, route *rule.Rule) bool {
-	switch response.Status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return false
-	}
-	return result == attemptresult.Failed
-}
-
 // failureOutcome returns the outcome of a request without a response.
 func (f *Forwarder) failureOutcome(ctx context.Context, s *requestState, retryAfter time.Duration) (*origin.Response, outcome.Outcome) {
 	if s.history.MayHaveRun {
--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -7,13 +7,13 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"time"
 
 	"redwingsill/core/announcement"
 	"redwingsill/core/attemptresult"
 	"redwingsill/core/instance"
 	"redwingsill/core/kind"
+	"redwingsill/core/responsehead"
 	"redwingsill/io/bodybudget"
 	"redwingsill/io/headers"
 )
@@ -93,7 +93,9 @@
 		}
 		return nil, newResult(attemptresult.Failed), err
 	}
-	status := c.classify(response, to)
+	head := c.headOf(response)
+	response.MayPass = head.MayPass(to.ID)
+	status := head.Result(to.ID)
 	if status != attemptresult.Answered && r.AttemptID != "" {
 		connection.recordFailure(r.AttemptID)
 	}
@@ -112,20 +114,9 @@
 	return errors.As(err, &failed) && failed.Timeout()
 }
 
-// classify returns the status of an attempt from its response.
-func (c *Client) classify(r *Response, to instance.Instance) attemptresult.Status {
-	isNotRun := r.Header.Get(c.headers.NotRun) != "" || r.Status == http.StatusMisdirectedRequest
-	switch {
-	case r.Status == http.StatusMisdirectedRequest && r.Header.Get(c.headers.InstanceID) != "" && r.Header.Get(c.headers.InstanceID) != to.ID:
-		return attemptresult.Replaced
-	case r.Status == http.StatusMisdirectedRequest:
-		return attemptresult.NotOwner
-	case isNotRun:
-		return attemptresult.Refused
-	case r.Status >= http.StatusInternalServerError || r.Status == http.StatusTooManyRequests:
-		return attemptresult.Failed
-	}
-	return attemptresult.Answered
+// headOf returns what decides in the head of a response.
+func (c *Client) headOf(r *Response) responsehead.ResponseHead {
+	return responsehead.ResponseHead{Status: r.Status, IsNotRun: r.Header.Get(c.headers.NotRun) != "", Server: r.Header.Get(c.headers.InstanceID)}
 }
 
 // errEndBeforeRequest is why a response without a length is not taken for whole.
--- a/io/origin/response.go
+++ b/io/origin/response.go
@@ -10,6 +10,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// MayPass is set if the caller may get the response. Others are to be replaced, such as a refusal by the backend server.
+	MayPass bool
 	// Connection is the ID of the connection, which is unique to the client, or 0 if a late copy of an earlier response came before
 	// this one. Ordinal is the number of requests that the connection has carried, this one included.
 	Connection int64
