Treat 421 in the expected server's own name as a failure unless it states that the request was not run

Callers saw: an order that a backend server had run and then answered with 421 was sent to another server at once, and ran twice (TWICE).

Cause: any 421 counted as "the server does not own the key", whatever else the response said.

Change: such a response counts as a failure: the request may have run. An idempotent request is sent again, another one ends with 502.

Worse off: callers of a server that refuses keys by 421 in its own name without the field: 502 for what must not run twice, in place of another attempt.

--- a/core/responsehead/responsehead.go
+++ b/core/responsehead/responsehead.go
@@ -19,7 +19,7 @@
 	switch {
 	case h.Status == misdirectedRequest && h.Server != "" && h.Server != expected:
 		return attemptresult.Replaced
-	case h.Status == misdirectedRequest:
+	case h.Status == misdirectedRequest && (h.IsNotRun || h.Server == ""):
 		return attemptresult.NotOwner
 	case h.IsNotRun:
 		return attemptresult.Refused
--- a/io/forward/failedstatus_test.go
+++ b/io/forward/failedstatus_test.go
@@ -48,6 +48,7 @@
 		{http.StatusNotFound, http.StatusNotFound, false},
 		{http.StatusRequestTimeout, http.StatusBadGateway, true},
 		{http.StatusConflict, http.StatusConflict, false},
+		{http.StatusMisdirectedRequest, http.StatusBadGateway, true},
 		{http.StatusTooEarly, http.StatusTooEarly, false},
 		{http.StatusTooManyRequests, http.StatusBadGateway, true},
 		{http.StatusInternalServerError, http.StatusInternalServerError, true},
