--- a/core/responsehead/responsehead.go
+++ b/core/responsehead/responsehead.go
@@ -16,11 +16,14 @@
 
 // Result returns how the attempt at the server with the ID expected has ended.
 func (h ResponseHead) Result(expected string) attemptresult.Status {
+	isNamed := h.Server == expected
 	switch {
-	case h.Status == misdirectedRequest && h.Server != "" && h.Server != expected:
+	case h.Status == misdirectedRequest && h.Server != "" && !isNamed:
 		return attemptresult.Replaced
-	case h.Status == misdirectedRequest && (h.IsNotRun || h.Server == ""):
+	case h.Status == misdirectedRequest && h.IsNotRun:
 		return attemptresult.NotOwner
+	case h.Status == misdirectedRequest && !isNamed:
+		return attemptresult.Replaced // another instance need not name itself, and the expected one states that it refuses a key
 	case h.IsNotRun:
 		return attemptresult.Refused
 	case h.Status >= internalServerError || h.promisesNotRun():
--- a/io/origin/client_test.go
+++ b/io/origin/client_test.go
@@ -144,6 +144,7 @@
 		Entry("not the owner", response(421, "X-Not-Run: 1\r\nX-Instance: i-1\r\n", ""), attemptresult.NotOwner, true),
 		Entry("another instance", response(421, "X-Instance: i-2\r\n", ""), attemptresult.Replaced, true),
 		Entry("another instance with the not-run header", response(421, "X-Not-Run: 1\r\nX-Instance: i-2\r\n", ""), attemptresult.Replaced, true),
+		Entry("another instance without a name", response(421, "", ""), attemptresult.Replaced, true),
 		Entry("misdirected without the not-run header, by the expected instance", response(421, "X-Instance: i-1\r\n", ""), attemptresult.Failed, true),
 		Entry("truncated in the body", "HTTP/1.1 200 X\r\nX-Attempt: ATTEMPT\r\nContent-Length: 9\r\n\r\nhalf", attemptresult.Failed, false),
 		Entry("truncated in a chunk", "HTTP/1.1 200 X\r\nX-Attempt: ATTEMPT\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal", attemptresult.Failed, false),
