Grants: only 400 and another server's 421 prove that a grant was not taken

What would be seen: a backend server that takes a grant and answers it with a status such as 404 keeps the keys while they are given to another server, so that keys have two holders.

All statuses of the 400s but 408, 409 and 429 counted as "the grant had no effect".

--- a/core/command/result.go
+++ b/core/command/result.go
@@ -13,8 +13,7 @@
 	Lost
 	// Unsent: the command did not reach the backend server.
 	Unsent
-	// Invalid: the server at the address rejected the command, which had no effect, for example as malformed or since it
-	// knows no such commands.
+	// Invalid: the server at the address rejected the command as malformed, so that it had no effect.
 	Invalid
 	// Replaced: another backend server answered at the address and did not carry out the command.
 	Replaced
