--- a/io/backendserver/client_test.go
+++ b/io/backendserver/client_test.go
@@ -241,6 +241,16 @@
 		Expect(o).To(Equal(outcome.Answered{Status: 500, Attributes: map[string]string{}, Body: []byte("body")}))
 	})
 
+	// Guards against NotRun, by which callers send a request again under a new ID, for a request that the server has run.
+	DescribeTable("is not taken for refused by the status alone", func(status int) {
+		s := newRawServer(func(_ int64, conn net.Conn, _ *http.Request) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n", status)
+		})
+		o, isShed := newClient(s).Run(context.Background(), newRun(http.MethodPost, "{}", time.Second))
+		Expect(o).To(Equal(outcome.Answered{Status: status, Attributes: map[string]string{"Header-Retry-After": "1"}, Body: []byte{}}))
+		Expect(isShed).To(BeFalse())
+	}, Entry(nil, 408), Entry(nil, 421), Entry(nil, 429), Entry(nil, 503))
+
 	It("does not receive the late response to the previous request", func() {
 		s := newRawServer(func(n int64, conn net.Conn, r *http.Request) {
 			if n == 1 {
--- a/io/caller/frontend_test.go
+++ b/io/caller/frontend_test.go
@@ -79,6 +79,7 @@
 	},
 		Entry("answered", outcome.Answered{Status: 201, Body: []byte("x")}, 201, "Answered"),
 		Entry("an error from the backend server", outcome.Answered{Status: 500}, 500, "Answered"),
+		Entry("a 503 of the backend server, which may have run the request", outcome.Answered{Status: 503, Attributes: map[string]string{"Header-Retry-After": "1"}}, 503, "Answered"),
 		Entry("not run", outcome.NotRun{Reason: "full"}, 503, "NotRun"),
 		Entry("unknown", outcome.Unknown{Reason: "lost"}, 504, "Unknown"),
 	)
