forward: keep a backend server's failure for the caller until a later attempt succeeds

Callers saw: 502 with the text "Failed" in place of a backend server's own 500 and its text, for an idempotent request whose next attempt found no server, or ended without a response.

Cause: the response was released as soon as another attempt was allowed, before it was known whether there would be a slot for it.

Change: the request keeps the last response that reports a failure and may pass. The caller gets it unless a later attempt is answered.

Evidence: the cases "500", "500 0" and "500 408" of TestFailureOfABackendServerReachesTheCallerUnlessALaterAttemptSucceeds failed before with "status 502 with 7 bytes, want 500", and pass now; the budget for responses is back at 0 bytes after each. go test -race ./io/forward passes.

Worse off: nobody by the status. A kept response counts towards the memory for responses while the next attempt runs, so a long response of another request may find less room beside it.

--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -127,20 +127,17 @@
 		s.history = s.history.WithResult(slot.Incarnation, result.Status)
 		s.result, s.err, s.status = result.Status, err, statusOf(response)
 		if result.Status == attemptresult.Answered {
+			s.releaseFailure()
 			return response, nil
 		}
+		s.keepFailure(response)
 		remaining := s.request.Deadline.Sub(f.now())
 		if ctx.Err() == nil && s.rounds < maxRounds &&
 			s.history.MayRetry(s.route, remaining, minRetryTime, func() bool { return f.takeRetry(s.service) }) {
 			if result.Status != attemptresult.NotOwner || f.backOff(ctx, s) {
-				response.Release()
 				continue
 			}
 		}
-		if response != nil && response.MayPass {
-			return response, nil
-		}
-		response.Release()
 		retryAfter := failureRetryAfter
 		if f.keyOf(s) != slotrequest.NoKey { // no other server can run it
 			retryAfter = max(retryAfter, f.pauseOf(slot.Incarnation))
@@ -175,8 +172,11 @@
 		Announcement: announcement.Announcement{IsLeaving: f.announcements.Read().IsLeaving(incarnation), Pause: f.pauseOf(incarnation)}}
 }
 
-// failureOutcome returns the outcome of a request without a response.
+// failureOutcome returns the last response that reports a failure and may pass, or the outcome of a request without one.
 func (f *Forwarder) failureOutcome(ctx context.Context, s *requestState, retryAfter time.Duration) (*origin.Response, outcome.Outcome) {
+	if s.failure != nil {
+		return s.failure, nil
+	}
 	if s.history.MayHaveRun {
 		return nil, outcome.Unknown{Reason: s.result.String()}
 	}
--- a/io/forward/forwarder_test.go
+++ b/io/forward/forwarder_test.go
@@ -31,6 +31,7 @@
 	"redwingsill/core/routing"
 	"redwingsill/core/rule"
 	"redwingsill/core/uploads"
+	"redwingsill/io/bodybudget"
 	"redwingsill/io/datagram"
 	"redwingsill/io/forward"
 	"redwingsill/io/headers"
@@ -130,6 +131,12 @@
 // newFrontEndOf returns the URL of a front end as newFrontEnd does, whose slot server knows the given backend servers. The forwarder knows
 // those of a roster. The first server owns all keys if the service is sharded.
 func newFrontEndOf(t *testing.T, servers []instance.Instance, known roster.Roster, isSharded, isIdempotent bool, retries float64) string {
+	return newFrontEndWithin(t, &bodybudget.BodyBudget{}, servers, known, isSharded, isIdempotent, retries)
+}
+
+// newFrontEndWithin returns the URL of a front end as newFrontEndOf does, which reads responses within a budget.
+func newFrontEndWithin(t *testing.T, bodies *bodybudget.BodyBudget, servers []instance.Instance, known roster.Roster, isSharded, isIdempotent bool,
+	retries float64) string {
 	log := slog.New(slog.DiscardHandler)
 	slots := slotserver.New(time.Now)
 	slots.SetService("s", isSharded, servers)
@@ -147,7 +154,7 @@
 	routes := rcu.New(routing.Routing{Version: 1, Services: map[string]backendservice.BackendService{"s": {Name: "s", IsSharded: isSharded}},
 		Table: routetable.New(rule.Rule{Name: "a", Host: "a.example", Prefix: "/", IsIdempotent: isIdempotent, Timeout: 2 * time.Second,
 			Objective: time.Second, MaxAttempts: 2, Destinations: []destination.Destination{{Service: "s", Weight: 1}}})})
-	client, closeClient := origin.New(names, time.Now)
+	client, closeClient := origin.NewWithin(bodies, names, time.Now)
 	t.Cleanup(closeClient)
 	f := forward.New("ilo", forward.RetryBudget{Window: 10 * time.Second, Extra: retries}, routes, rcu.New(known), hosts,
 		rcu.New(announcements.Announcements{}), func(string, instance.Instance, announcement.Announcement) {}, slotClient, client, noMetrics{}, time.Now, log)
--- a/io/forward/requeststate.go
+++ b/io/forward/requeststate.go
@@ -32,6 +32,25 @@
 	err         error
 	// status is the HTTP status of the last response, or 0.
 	status int
+	// failure is the last response that reports a failure and may pass, or nil. The caller gets it unless a later attempt succeeds.
+	failure *origin.Response
 	// refusalReason is why no slot was granted, or empty.
 	refusalReason placement.Reason
 }
+
+// keepFailure keeps a response that reports a failure, in place of the one before, if it may pass, and releases it otherwise. It does
+// nothing without a response.
+func (s *requestState) keepFailure(response *origin.Response) {
+	if response == nil || !response.MayPass {
+		response.Release()
+		return
+	}
+	s.releaseFailure()
+	s.failure = response
+}
+
+// releaseFailure releases the response that keepFailure has kept, if any.
+func (s *requestState) releaseFailure() {
+	s.failure.Release()
+	s.failure = nil
+}
