--- a/core/responsehead/responsehead.go
+++ b/core/responsehead/responsehead.go
@@ -16,14 +16,9 @@
 
 // Result returns how the attempt at the server with the ID expected has ended.
 func (h ResponseHead) Result(expected string) attemptresult.Status {
-	isNamed := h.Server == expected
 	switch {
-	case h.Status == misdirectedRequest && h.Server != "" && !isNamed:
-		return attemptresult.Replaced
-	case h.Status == misdirectedRequest && h.IsNotRun:
-		return attemptresult.NotOwner
-	case h.Status == misdirectedRequest && !isNamed:
-		return attemptresult.Replaced // another instance need not name itself, and the expected one states that it refuses a key
+	case h.Status == misdirectedRequest:
+		return h.misdirectedResult(expected)
 	case h.IsNotRun:
 		return attemptresult.Refused
 	case h.Status >= internalServerError || h.promisesNotRun():
@@ -32,6 +27,20 @@
 	return attemptresult.Answered
 }
 
+// misdirectedResult returns how an attempt has ended whose response is 421. The expected server refuses a key that it does not own with a
+// statement that the request was not run, and another server need not name itself.
+func (h ResponseHead) misdirectedResult(expected string) attemptresult.Status {
+	switch {
+	case h.Server != "" && h.Server != expected:
+		return attemptresult.Replaced
+	case h.IsNotRun:
+		return attemptresult.NotOwner
+	case h.Server == "":
+		return attemptresult.Replaced
+	}
+	return attemptresult.Failed
+}
+
 // MayPass reports whether the caller may get the response to the attempt at the server with the ID expected. The status of a failure must
 // not promise that the request has not run, since callers then send even those again that must not run twice.
 func (h ResponseHead) MayPass(expected string) bool {
