Take any 421 without a name for another instance's if the request has no key

Change: core/responsehead learns whether the request has a key that only its owner serves. Without one, a 421 without a name comes from another instance. The two methods lose their parameter, as the head holds the expected server.

Worse off: nobody known. A server that refuses a request without a key by 421 in its own name is treated as before.

--- a/core/responsehead/responsehead.go
+++ b/core/responsehead/responsehead.go
@@ -4,8 +4,12 @@
 
 import "redwingsill/core/attemptresult"
 
-// ResponseHead is the part of a response's head that decides. It is immutable.
+// ResponseHead is the part of a response's head that decides, and of the request that it answers. It is immutable.
 type ResponseHead struct {
+	// Expected is the ID of the server that the request was sent to, and HasKey is set if the request has a key, which only its owner
+	// serves.
+	Expected string
+	HasKey   bool
 	// Status is the HTTP status.
 	Status int
 	// IsNotRun is set if the response states that the request was not run.
@@ -14,11 +18,11 @@
 	Server string
 }
 
-// Result returns how the attempt at the server with the ID expected has ended.
-func (h ResponseHead) Result(expected string) attemptresult.Status {
+// Result returns how the attempt has ended.
+func (h ResponseHead) Result() attemptresult.Status {
 	switch {
 	case h.Status == misdirectedRequest:
-		return h.misdirectedResult(expected)
+		return h.misdirectedResult()
 	case h.IsNotRun:
 		return attemptresult.Refused
 	case h.Status >= internalServerError || h.promisesNotRun():
@@ -29,22 +33,22 @@
 
 // misdirectedResult returns how an attempt has ended whose response is 421. The expected server refuses a key that it does not own with a
 // statement that the request was not run, and another server need not name itself.
-func (h ResponseHead) misdirectedResult(expected string) attemptresult.Status {
+func (h ResponseHead) misdirectedResult() attemptresult.Status {
 	switch {
-	case h.Server != "" && h.Server != expected:
+	case h.Server != "" && h.Server != h.Expected:
+		return attemptresult.Replaced
+	case h.Server == "" && !(h.IsNotRun && h.HasKey):
 		return attemptresult.Replaced
 	case h.IsNotRun:
 		return attemptresult.NotOwner
-	case h.Server == "":
-		return attemptresult.Replaced
 	}
 	return attemptresult.Failed
 }
 
-// MayPass reports whether the caller may get the response to the attempt at the server with the ID expected. The status of a failure must
-// not promise that the request has not run, since callers then send even those again that must not run twice.
-func (h ResponseHead) MayPass(expected string) bool {
-	switch h.Result(expected) {
+// MayPass reports whether the caller may get the response. The status of a failure must not promise that the request has not run, since
+// callers then send even those again that must not run twice.
+func (h ResponseHead) MayPass() bool {
+	switch h.Result() {
 	case attemptresult.Answered:
 		return true
 	case attemptresult.Failed:
--- a/core/responsehead/responsehead_test.go
+++ b/core/responsehead/responsehead_test.go
@@ -9,10 +9,10 @@
 )
 
 func ExampleResponseHead() {
-	timedOut := responsehead.ResponseHead{Status: 408, Server: "i-1"}
-	fmt.Println(timedOut.Result("i-1"), timedOut.MayPass("i-1"))
+	timedOut := responsehead.ResponseHead{Expected: "i-1", Status: 408, Server: "i-1"}
+	fmt.Println(timedOut.Result(), timedOut.MayPass())
 	timedOut.IsNotRun = true
-	fmt.Println(timedOut.Result("i-1"), timedOut.MayPass("i-1"))
+	fmt.Println(timedOut.Result(), timedOut.MayPass())
 	// Output:
 	// Failed false
 	// Refused false
@@ -22,20 +22,43 @@
 func TestNoResponseThatPassesPromisesThatItsRequestHasNotRun(t *testing.T) {
 	promises := map[int]bool{408: true, 421: true, 429: true, 503: true}
 	for status := 100; status < 1000; status++ {
-		for _, isNotRun := range []bool{false, true} {
-			for _, server := range []string{"", "i-1", "i-2"} {
-				h := responsehead.ResponseHead{Status: status, IsNotRun: isNotRun, Server: server}
-				result := h.Result("i-1")
-				if h.MayPass("i-1") && (promises[status] || isNotRun) {
-					t.Errorf("%+v passes as %v", h, result)
-				}
-				if result == attemptresult.Answered && (promises[status] || status >= 500 || isNotRun) {
-					t.Errorf("%+v counts as an answer without a failure", h)
-				}
-				if isNotRun && result == attemptresult.Failed {
-					t.Errorf("%+v counts as a request that may have run", h)
-				}
+		for variant := range 12 {
+			h := responsehead.ResponseHead{Expected: "i-1", HasKey: variant%2 == 0, Status: status, IsNotRun: variant/2%2 == 0, Server: []string{"", "i-1", "i-2"}[variant/4]}
+			result := h.Result()
+			if h.MayPass() && (promises[status] || h.IsNotRun) {
+				t.Errorf("%+v passes as %v", h, result)
 			}
+			if result == attemptresult.Answered && (promises[status] || status >= 500 || h.IsNotRun) {
+				t.Errorf("%+v counts as an answer without a failure", h)
+			}
+			if h.IsNotRun && result == attemptresult.Failed {
+				t.Errorf("%+v counts as a request that may have run", h)
+			}
+		}
+	}
+}
+
+// Guards against a server without the key that is not asked again, and against another server that is.
+func TestMisdirectedRequest(t *testing.T) {
+	for _, c := range []struct {
+		server           string
+		hasKey, isNotRun bool
+		want             attemptresult.Status
+	}{
+		{"i-1", true, true, attemptresult.NotOwner},
+		{"i-1", true, false, attemptresult.Failed},
+		{"i-1", false, true, attemptresult.NotOwner},
+		{"i-1", false, false, attemptresult.Failed},
+		{"i-2", true, true, attemptresult.Replaced},
+		{"i-2", false, false, attemptresult.Replaced},
+		{"", true, true, attemptresult.NotOwner},
+		{"", true, false, attemptresult.Replaced},
+		{"", false, true, attemptresult.Replaced},
+		{"", false, false, attemptresult.Replaced},
+	} {
+		h := responsehead.ResponseHead{Expected: "i-1", HasKey: c.hasKey, Status: 421, IsNotRun: c.isNotRun, Server: c.server}
+		if got := h.Result(); got != c.want {
+			t.Errorf("%+v: %v, want %v", h, got, c.want)
 		}
 	}
 }
--- a/io/forward/failedstatus_test.go
+++ b/io/forward/failedstatus_test.go
@@ -104,30 +104,33 @@
 // Guards against a server of another service at a reused address that goes on getting requests, since its 421 counts as that of a server
 // without the key.
 func TestServerAtAReusedAddressGetsFewerRequests(t *testing.T) {
-	var misdirected, served atomic.Int64
-	newServer := func(id string, handle http.HandlerFunc) instance.Instance {
-		server := httptest.NewServer(handle)
-		t.Cleanup(server.Close)
-		return instance.Instance{ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "ilo", Slots: 2}
-	}
-	servers := []instance.Instance{
-		newServer("i-0", func(w http.ResponseWriter, r *http.Request) {
-			misdirected.Add(1)
-			w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
-			w.WriteHeader(http.StatusMisdirectedRequest)
-		}),
-		newServer("i-1", func(w http.ResponseWriter, r *http.Request) {
-			served.Add(1)
-			w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
-		}),
-	}
-	url := newFrontEndOf(t, servers, roster.New(servers...), false, false, 100)
-	for i := range 20 {
-		if status, _, _ := send(t, http.MethodPost, url, fmt.Sprint("request-", i)); status != http.StatusOK {
-			t.Errorf("request %d: status %d", i, status)
+	for _, notRun := range []string{"", "1"} {
+		var misdirected, served atomic.Int64
+		newServer := func(id string, handle http.HandlerFunc) instance.Instance {
+			server := httptest.NewServer(handle)
+			t.Cleanup(server.Close)
+			return instance.Instance{ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "ilo", Slots: 2}
+		}
+		servers := []instance.Instance{
+			newServer("i-0", func(w http.ResponseWriter, r *http.Request) {
+				misdirected.Add(1)
+				w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
+				w.Header().Set(names.NotRun, notRun)
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			}),
+			newServer("i-1", func(w http.ResponseWriter, r *http.Request) {
+				served.Add(1)
+				w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
+			}),
+		}
+		url := newFrontEndOf(t, servers, roster.New(servers...), false, false, 100)
+		for i := range 20 {
+			if status, _, _ := send(t, http.MethodPost, url, fmt.Sprint("request-", i)); status != http.StatusOK {
+				t.Errorf("not run %q, request %d: status %d", notRun, i, status)
+			}
+		}
+		if misdirected.Load() >= served.Load() {
+			t.Errorf("not run %q: %d requests to the server at the reused address, %d to the other", notRun, misdirected.Load(), served.Load())
 		}
-	}
-	if misdirected.Load() >= served.Load() {
-		t.Errorf("%d requests to the server at the reused address, %d to the other", misdirected.Load(), served.Load())
 	}
 }
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -118,6 +118,7 @@
 			continue
 		}
 		s.onSend()
+		s.request.HasKey = f.keyOf(s) != slotrequest.NoKey // a configuration may have come meanwhile
 		response, result, err := f.origin.Send(ctx, to, s.request, f.connectionLimit(s.service))
 		if !result.Announcement.IsZero() {
 			f.onAnnouncement(s.request.AttemptID, to, result.Announcement)
--- a/io/origin/client.go
+++ b/io/origin/client.go
@@ -93,9 +93,9 @@
 		}
 		return nil, newResult(attemptresult.Failed), err
 	}
-	head := c.headOf(response)
-	response.MayPass = head.MayPass(to.ID)
-	status := head.Result(to.ID)
+	head := c.headOf(response, to, r)
+	response.MayPass = head.MayPass()
+	status := head.Result()
 	if status != attemptresult.Answered && r.AttemptID != "" {
 		connection.recordFailure(r.AttemptID)
 	}
@@ -114,9 +114,10 @@
 	return errors.As(err, &failed) && failed.Timeout()
 }
 
-// headOf returns what decides in the head of a response.
-func (c *Client) headOf(r *Response) responsehead.ResponseHead {
-	return responsehead.ResponseHead{Status: r.Status, IsNotRun: r.Header.Get(c.headers.NotRun) != "", Server: r.Header.Get(c.headers.InstanceID)}
+// headOf returns what decides in the head of the response to a request.
+func (c *Client) headOf(response *Response, to instance.Instance, r Request) responsehead.ResponseHead {
+	return responsehead.ResponseHead{Expected: to.ID, HasKey: r.HasKey, Status: response.Status,
+		IsNotRun: response.Header.Get(c.headers.NotRun) != "", Server: response.Header.Get(c.headers.InstanceID)}
 }
 
 // errEndBeforeRequest is why a response without a length is not taken for whole.
--- a/io/origin/request.go
+++ b/io/origin/request.go
@@ -19,6 +19,8 @@
 	// holds it too. The response must echo it, or have no ID if AttemptID is empty. In that case the connection is kept
 	// only after a response with status 200.
 	AttemptID string
+	// HasKey is set if only the owner of the request's key serves it.
+	HasKey bool
 	// NeedsNewConnection makes the request go over a new connection. It is set if a late copy of an earlier response must not be
 	// taken for the response, and there is no attempt ID that tells them apart.
 	NeedsNewConnection bool
