--- a/core/responsehead/responsehead_test.go
+++ b/core/responsehead/responsehead_test.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// Guards against a server without the key that is not asked again, and against another server that is.
-func TestMisdirectedRequest(t *testing.T) {
+// Guards against an owner that is not asked again after a move of its key, against another server that is, and against a second run.
+func TestMisdirectedRequestIsSentAgainOnlyToAServerWithoutTheKey(t *testing.T) {
 	for _, c := range []struct {
 		server           string
 		hasKey, isNotRun bool
--- a/io/forward/failedstatus_test.go
+++ b/io/forward/failedstatus_test.go
@@ -12,27 +12,14 @@
 	"redwingsill/core/roster"
 )
 
-// newFailOnceServers starts two backend servers that run all requests. The first response of either has the given status and the fields
-// of its server, the others are successes. The returned function returns how many requests have run.
-func newFailOnceServers(t *testing.T, status int, fieldsOf func(id string) http.Header) ([]instance.Instance, func() int64) {
-	var runs atomic.Int64
-	servers := make([]instance.Instance, 2)
-	for i := range servers {
-		id := fmt.Sprint("i-", i)
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
-			w.Header().Set(names.Seal, "seal")
-			if runs.Add(1) == 1 {
-				for name, values := range fieldsOf(id) {
-					w.Header()[name] = values
-				}
-				w.WriteHeader(status)
-			}
-		}))
-		t.Cleanup(server.Close)
-		servers[i] = instance.Instance{ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "ilo", Slots: 2}
-	}
-	return servers, runs.Load
+// newServer starts the nth backend server of service s, which names itself only in its handler and echoes the attempt ID of each request.
+func newServer(t *testing.T, n int, handle http.HandlerFunc) instance.Instance {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
+		handle(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return instance.Instance{ID: fmt.Sprint("i-", n), Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "ilo", Slots: 2}
 }
 
 // Guards against a promise that a request has not run, which a caller takes for leave to send it again, from a server that has run it.
@@ -59,14 +46,24 @@
 			for _, isIdempotent := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%d, sharded %v, idempotent %v", c.status, isSharded, isIdempotent), func(t *testing.T) {
 					t.Parallel()
-					servers, runs := newFailOnceServers(t, c.status, func(id string) http.Header { return http.Header{names.InstanceID: {id}} })
+					var runs atomic.Int64
+					servers := make([]instance.Instance, 2)
+					for i := range servers {
+						servers[i] = newServer(t, i, func(w http.ResponseWriter, _ *http.Request) {
+							w.Header().Set(names.InstanceID, fmt.Sprint("i-", i))
+							w.Header().Set(names.Seal, "seal")
+							if runs.Add(1) == 1 {
+								w.WriteHeader(c.status)
+							}
+						})
+					}
 					status, header, _ := send(t, http.MethodPost, newFrontEndOf(t, servers, roster.New(servers...), isSharded, isIdempotent, 9), "one")
 					want, wantRuns := c.want, int64(1)
 					if c.isFailure && isIdempotent {
 						want, wantRuns = http.StatusOK, 2
 					}
-					if status != want || runs() != wantRuns {
-						t.Errorf("status %d after %d runs, want %d after %d", status, runs(), want, wantRuns)
+					if status != want || runs.Load() != wantRuns {
+						t.Errorf("status %d after %d runs, want %d after %d", status, runs.Load(), want, wantRuns)
 					}
 					if isSealed := header.Get(names.Seal) != ""; isSealed != (status != http.StatusBadGateway) {
 						t.Errorf("status %d with a seal: %v", status, isSealed)
@@ -83,13 +80,10 @@
 		var servers []instance.Instance
 		var counts [2]atomic.Int64
 		for i, answer := range []int{status, http.StatusOK} {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			servers = append(servers, newServer(t, i, func(w http.ResponseWriter, _ *http.Request) {
 				counts[i].Add(1)
-				w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
 				w.WriteHeader(answer)
 			}))
-			t.Cleanup(server.Close)
-			servers = append(servers, instance.Instance{ID: fmt.Sprint("i-", i), Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "ilo", Slots: 2})
 		}
 		url := newFrontEndOf(t, servers, roster.New(servers...), false, false, 9)
 		for i := range 100 {
@@ -106,22 +100,13 @@
 func TestServerAtAReusedAddressGetsFewerRequests(t *testing.T) {
 	for _, notRun := range []string{"", "1"} {
 		var misdirected, served atomic.Int64
-		newServer := func(id string, handle http.HandlerFunc) instance.Instance {
-			server := httptest.NewServer(handle)
-			t.Cleanup(server.Close)
-			return instance.Instance{ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "ilo", Slots: 2}
-		}
 		servers := []instance.Instance{
-			newServer("i-0", func(w http.ResponseWriter, r *http.Request) {
+			newServer(t, 0, func(w http.ResponseWriter, _ *http.Request) {
 				misdirected.Add(1)
-				w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
 				w.Header().Set(names.NotRun, notRun)
 				w.WriteHeader(http.StatusMisdirectedRequest)
 			}),
-			newServer("i-1", func(w http.ResponseWriter, r *http.Request) {
-				served.Add(1)
-				w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
-			}),
+			newServer(t, 1, func(http.ResponseWriter, *http.Request) { served.Add(1) }),
 		}
 		url := newFrontEndOf(t, servers, roster.New(servers...), false, false, 100)
 		for i := range 20 {
--- a/io/forward/keptfailure_test.go
+++ b/io/forward/keptfailure_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -34,17 +33,14 @@
 			var runs atomic.Int64
 			servers := make([]instance.Instance, len(c.statuses))
 			for i := range servers {
-				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				servers[i] = newServer(t, i, func(w http.ResponseWriter, _ *http.Request) {
 					status := c.statuses[runs.Add(1)-1]
 					if status == 0 {
 						panic(http.ErrAbortHandler)
 					}
-					w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
 					w.WriteHeader(status)
 					_, _ = io.WriteString(w, strings.Repeat(fmt.Sprint(status), 1000))
-				}))
-				t.Cleanup(server.Close)
-				servers[i] = instance.Instance{ID: fmt.Sprint("i-", i), Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "ilo", Slots: 2}
+				})
 			}
 			bodies := bodybudget.New(1<<20, 100)
 			status, _, body := send(t, http.MethodGet, newFrontEndWithin(t, bodies, servers, roster.New(servers...), false, true, 9), "one")
