core/responsehead: write the condition of a 421 without a name as the linter asks

The condition is the same by De Morgan's law; the linter reports 0 issues, and the tests of core/responsehead, io/forward and io/origin pass.

--- a/core/responsehead/responsehead.go
+++ b/core/responsehead/responsehead.go
@@ -37,7 +37,7 @@
 	switch {
 	case h.Server != "" && h.Server != h.Expected:
 		return attemptresult.Replaced
-	case h.Server == "" && !(h.IsNotRun && h.HasKey):
+	case h.Server == "" && (!h.IsNotRun || !h.HasKey):
 		return attemptresult.Replaced
 	case h.IsNotRun:
 		return attemptresult.NotOwner
